Overload: whole requests at ten times the capacity

Two reasons: the limit of a small server stuck at 1.56, since one request in flight never counted as use of it; and the correction of the shares took the longest wait of a window, which any burst exceeds.

Ruled out: routing (both upstreams of each service were used alike), backend sheds (none).

Change: use of a limit counts whole requests; the shares are corrected by the shortest wait of a window (CoDel's standing queue).

--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -1,6 +1,7 @@
 #include "admission/concurrencylimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace figplank::admission {
 namespace {
@@ -35,7 +36,7 @@
   if (Limit.TimedOut >= Settings.FailureThreshold * Ended) {
     return Settings.TimeoutFactor;
   }
-  bool Used = Limit.MostInFlight >= UsedFraction * Limit.Limit;
+  bool Used = Limit.MostInFlight >= std::floor(UsedFraction * Limit.Limit);
   return Used ? Settings.Growth : 1.0;
 }
 
@@ -52,7 +53,8 @@
 
 void setSlots(concurrency_limit &Limit, double Slots) {
   Limit.Settings.Slots = std::max(LeastLimit, Slots);
-  Limit.Limit = std::min(Limit.Limit, Limit.Settings.Slots);
+  Limit.Limit =
+      std::clamp(Limit.Limit, coldLimit(Limit.Settings), Limit.Settings.Slots);
 }
 
 void restartCold(concurrency_limit &Limit) {
--- a/src/admission/sharecontroller.cpp
+++ b/src/admission/sharecontroller.cpp
@@ -7,8 +7,6 @@
 
 /// Row shared by the organisations beyond the bound.
 constexpr std::string_view OverflowRow = "*";
-/// Part of the limit below which slots count as idle.
-constexpr double IdleFraction = 0.95;
 
 void smoothDemands(share_controller &Controller, double Seconds) {
   const share_settings &Settings = Controller.Settings;
@@ -26,10 +24,9 @@
 
 void correct(share_controller &Controller, const window_measure &Measure) {
   const share_settings &Settings = Controller.Settings;
-  if (Measure.QueueDelay > Settings.TargetDelay) {
+  if (Measure.StandingDelay > Settings.TargetDelay) {
     Controller.Correction *= Settings.DecreaseFactor;
-  } else if (Controller.Refusing &&
-             Measure.MostInFlight < IdleFraction * Measure.Limit) {
+  } else if (Controller.Refusing && Measure.StandingDelay.count() == 0) {
     Controller.Correction *= Settings.IncreaseFactor;
   } else if (!Controller.Refusing) {
     Controller.Correction += Settings.Smoothing * (1.0 - Controller.Correction);
--- a/src/admission/sharecontroller.h
+++ b/src/admission/sharecontroller.h
@@ -15,11 +15,11 @@
   framework::milliseconds Window{100};
   /// Weight of the newest window in the smoothed demand.
   double Smoothing = 0.3;
-  /// Queue delay above which less is admitted.
-  framework::milliseconds TargetDelay{20};
+  /// Standing delay of the queue above which less is admitted.
+  framework::milliseconds TargetDelay{10};
   /// Change of the correction per window.
   double DecreaseFactor = 0.95;
-  double IncreaseFactor = 1.02;
+  double IncreaseFactor = 1.01;
   double LeastCorrection = 0.5;
   double MostCorrection = 1.3;
   /// Organisations without demand are forgotten below this demand.
@@ -50,10 +50,9 @@
 struct window_measure {
   /// Concurrent requests allowed.
   double Limit = 1.0;
-  /// Most concurrent requests in the window.
-  double MostInFlight = 0.0;
-  /// Longest wait in the queue of a request that left it in the window.
-  framework::microseconds QueueDelay{0};
+  /// The shortest wait of a request that began in the window: a queue that
+  /// never empties, rather than a burst (CoDel; Nichols and Jacobson, 2012).
+  framework::microseconds StandingDelay{0};
 };
 
 share_controller startShares(const share_settings &Settings,
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -1,5 +1,6 @@
 #include "node/daemon.h"
 
+#include "framework/kjlog.h"
 #include "node/admin.h"
 #include "node/callerhttp.h"
 #include "node/rpcservice.h"
@@ -144,6 +145,7 @@
 int runNode(const node_settings &Settings) {
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
+  framework::kj_log_router KjLog;
   kj::AsyncIoContext Io = kj::setupAsyncIo();
   try {
     node_parts Parts(Settings, Io);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -312,6 +312,7 @@
   if (Unlimited || (Node.Queue.Size == 0 && admission::hasRoom(Node.Limit))) {
     admission::startRun(Node.Limit);
     Turn.Granted = true;
+    recordWait(framework::microseconds(0));
     co_return refusal_reason::None;
   }
   auto Pair = kj::newPromiseAndFulfiller<refusal_reason>();
@@ -334,8 +335,7 @@
   kj::Promise<refusal_reason> Either = Pair.promise.exclusiveJoin(kj::mv(Late));
   refusal_reason Reason = co_await kj::mv(Either);
   if (Reason == refusal_reason::None) {
-    framework::microseconds Waited = readClocks().Monotonic - Now;
-    LongestWait = std::max(LongestWait, Waited);
+    recordWait(readClocks().Monotonic - Now);
   }
   co_return Reason;
 }
@@ -568,17 +568,22 @@
 // Control windows.
 
 void upstream_service::tick(monotonic_time Now) {
-  double MostInFlight = Node.Limit.MostInFlight;
   admission::advanceLimit(Node.Limit, Now);
-  admission::window_measure Measure{Node.Limit.Limit, MostInFlight,
-                                    LongestWait};
+  admission::window_measure Measure{
+      Node.Limit.Limit, ShortestWait.value_or(framework::microseconds(0))};
   if (admission::advanceShares(Node.Shares, Measure, ownMinimumShares(Node),
                                Now)) {
+    ShortestWait.reset();
     LongestWait = framework::microseconds(0);
   }
   pump();
 }
 
+void upstream_service::recordWait(framework::microseconds Waited) {
+  ShortestWait = std::min(ShortestWait.value_or(Waited), Waited);
+  LongestWait = std::max(LongestWait, Waited);
+}
+
 std::size_t upstream_service::unfinished() const {
   return Node.Limit.InFlight + Node.Queue.Size;
 }
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -92,6 +92,7 @@
   void pump();
   void completeAnswer(work_answer &Answer, const work_request &Request);
   framework::microseconds serviceTime(const std::string &Template) const;
+  void recordWait(framework::microseconds Waited);
   void recordServiceTime(const std::string &Template,
                          framework::microseconds Time);
   framework::milliseconds retryAfter();
@@ -107,6 +108,8 @@
       Runs;
   /// Smoothed seconds at the backend server, by template.
   std::map<std::string, double> ServiceSeconds;
+  /// Shortest and longest wait of the requests that began in this window.
+  std::optional<framework::microseconds> ShortestWait;
   framework::microseconds LongestWait{0};
   /// Fingerprints whose connections were lost since the last crash check.
   std::vector<retry::fingerprint> Lost;
--- a/standins/loopthread.cpp
+++ b/standins/loopthread.cpp
@@ -1,5 +1,7 @@
 #include "standins/loopthread.h"
 
+#include "framework/kjlog.h"
+
 #include <kj/debug.h>
 
 namespace figplank::standins {
@@ -16,6 +18,7 @@
 }
 
 void loop_thread::loop(std::promise<void> &Started) {
+  framework::kj_log_router KjLog;
   kj::AsyncIoContext Context = kj::setupAsyncIo();
   Io = &Context;
   Executor = kj::getCurrentThreadExecutor();
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -8,8 +8,8 @@
   using namespace figplank;
   const std::vector<framework::setting_spec> Specs{
       {"address", "where to serve, IP:PORT", "127.0.0.1:7000", false}};
-  auto Given = framework::readSettings({Values + 1, Values + Count},
-                                       "FIGPLANK_PLATFORM_", Specs);
+  auto Given =
+      framework::readSettings({Values + 1, Values + Count}, "PLATFORM_", Specs);
   std::string Address = framework::addressSetting(Given, "address", false);
   if (Given.Help) {
     std::fputs(
