--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -206,25 +206,8 @@
 /// A chain of \p Length services of two upstreams, the last of which fails
 /// at once.
 retry_figures measureRetries(unsigned Length, const std::string &Mode) {
-  standins::fleet_spec Spec;
-  Spec.Zones = 2;
-  Spec.Organisations = {"alpha"};
+  standins::fleet_spec Spec = standins::linearChain(Length, 2);
   Spec.NodeFlags = {"--admission=" + Mode};
-  for (unsigned I = 1; I <= Length; ++I) {
-    standins::service_spec Service;
-    Service.Name = "s" + std::to_string(I);
-    Service.Slots = 30;
-    Service.Paths["/run"].ServiceTime = std::chrono::microseconds(500);
-    if (I < Length) {
-      Service.Paths["/run"].Children = {{"step" + std::to_string(I + 1)}};
-    }
-    Spec.Services.push_back(Service);
-    standins::template_spec Template;
-    Template.Name = "step" + std::to_string(I);
-    Template.Service = Service.Name;
-    Template.Path = "/run";
-    Spec.Templates.push_back(Template);
-  }
   fleet Fleet(Spec);
   if (!Fleet.awaitReady(milliseconds(40'000))) {
     std::printf("the fleet did not become ready\n");
--- a/src/framework/outcome.h
+++ b/src/framework/outcome.h
@@ -40,7 +40,6 @@
   HomeMoved,
   HomeUnreachable,
   OutcomeTableFull,
-  IdFenced,
   NoConfiguration,
   NoUpstream,
   UpstreamUnreachable,
@@ -55,7 +54,6 @@
   BackendFailed,
   ConnectionLost,
   SuspectRequest,
-  Cancelled,
   WokeLate,
   RoundTooLarge,
   ChildRefused,
@@ -69,7 +67,7 @@
   std::uint16_t Status;
 };
 
-inline constexpr std::array<refusal_row, 32> RefusalTable{{
+inline constexpr std::array<refusal_row, 30> RefusalTable{{
     {refusal_reason::None, "none", 200},
     {refusal_reason::MalformedRequest, "malformed_request", 400},
     {refusal_reason::BodyTooLarge, "body_too_large", 413},
@@ -83,7 +81,6 @@
     {refusal_reason::HomeMoved, "home_moved", 503},
     {refusal_reason::HomeUnreachable, "home_unreachable", 503},
     {refusal_reason::OutcomeTableFull, "outcome_table_full", 503},
-    {refusal_reason::IdFenced, "id_fenced", 409},
     {refusal_reason::NoConfiguration, "no_configuration", 503},
     {refusal_reason::NoUpstream, "no_upstream", 503},
     {refusal_reason::UpstreamUnreachable, "upstream_unreachable", 503},
@@ -98,7 +95,6 @@
     {refusal_reason::BackendFailed, "backend_failed", 502},
     {refusal_reason::ConnectionLost, "connection_lost", 502},
     {refusal_reason::SuspectRequest, "suspect_request", 422},
-    {refusal_reason::Cancelled, "cancelled", 408},
     {refusal_reason::WokeLate, "woke_late", 503},
     {refusal_reason::RoundTooLarge, "round_too_large", 503},
     {refusal_reason::ChildRefused, "child_refused", 503},
--- a/src/node/callerhttp.h
+++ b/src/node/callerhttp.h
@@ -5,7 +5,7 @@
 /// NOTE This port is served by kj-http on the node's event loop and not by
 /// cpp-httplib: cpp-httplib 0.11 cannot tell a handler that its caller has
 /// gone and holds one thread for each open connection. docs/DESIGN.md gives
-/// the measurements.
+/// the reasons.
 #pragma once
 
 #include "node/dispatch.h"
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -170,7 +170,6 @@
 task<disseminator::exchange_step>
 disseminator::exchangeOnce(peer_connection &Connection, bool SendBuckets) {
   auto Request = KJ_ASSERT_NONNULL(Connection.Client).exchangeRequest();
-  Request.setAddress(Node.Settings.RpcAddress.c_str());
   Request.setHighest(configuration::highestRevision(Node.Store));
   Request.setSummary(configuration::summaryDigest(Node.Store));
   if (SendBuckets) {
--- a/src/node/tests/path_tests.cpp
+++ b/src/node/tests/path_tests.cpp
@@ -17,30 +17,6 @@
 
 using std::chrono::milliseconds;
 
-/// A chain of \p Length services, each with one upstream, in which template
-/// `step1` calls `step2` and so on.
-standins::fleet_spec chainFleet(unsigned Length) {
-  standins::fleet_spec Spec;
-  Spec.Organisations = {"alpha"};
-  for (unsigned I = 1; I <= Length; ++I) {
-    standins::service_spec Service;
-    Service.Name = "s" + std::to_string(I);
-    Service.Upstreams = 1;
-    Service.Paths["/run"].ServiceTime = std::chrono::microseconds(500);
-    if (I < Length) {
-      Service.Paths["/run"].Children = {{"step" + std::to_string(I + 1)}};
-    }
-    Spec.Services.push_back(Service);
-    standins::template_spec Template;
-    Template.Name = "step" + std::to_string(I);
-    Template.Service = Service.Name;
-    Template.Path = "/run";
-    Template.DeadlineMs = 5'000;
-    Spec.Templates.push_back(Template);
-  }
-  return Spec;
-}
-
 standins::load_stream chainStream() {
   standins::load_stream Stream;
   Stream.Template = "step1";
@@ -57,7 +33,11 @@
 TEST_GROUP(Path){};
 
 TEST(Path, RequestPassesAChainOfFourteenServices) {
-  fleet Fleet(chainFleet(14));
+  standins::fleet_spec Spec = standins::linearChain(14, 1);
+  for (standins::template_spec &Template : Spec.Templates) {
+    Template.DeadlineMs = 5'000;
+  }
+  fleet Fleet(Spec);
   CHECK(Fleet.awaitReady());
   load_generator Callers({Fleet.Nodes.back().Http});
   request_result Result = Callers.sendOne(chainStream(), "", 0);
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -83,7 +83,7 @@
   push @2 (entries :List(Entry), hops :UInt8) -> ();
   # Tells of new configuration entries.
 
-  exchange @3 (address :Text, highest :UInt64, summary :UInt64, buckets :List(UInt64))
+  exchange @3 (highest :UInt64, summary :UInt64, buckets :List(UInt64))
       -> (entries :List(Entry), highest :UInt64, summary :UInt64, ready :Bool);
   # Anti-entropy: the entries that the caller lacks. Buckets are empty unless
   # the summaries differ at equal highest revisions.
--- a/src/rpc/node.capnp.h
+++ b/src/rpc/node.capnp.h
@@ -262,7 +262,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cfeb9d0f88cfa8e8, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(cfeb9d0f88cfa8e8, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1684,9 +1684,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
   inline  ::uint64_t getHighest() const;
 
   inline  ::uint64_t getSummary() const;
@@ -1722,13 +1719,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
   inline  ::uint64_t getHighest();
   inline void setHighest( ::uint64_t value);
 
@@ -3426,40 +3416,6 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Node::ExchangeParams::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ExchangeParams::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Node::ExchangeParams::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Node::ExchangeParams::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ExchangeParams::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Node::ExchangeParams::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Node::ExchangeParams::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Node::ExchangeParams::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t Node::ExchangeParams::Reader::getHighest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3490,40 +3446,40 @@
 
 inline bool Node::ExchangeParams::Reader::hasBuckets() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::ExchangeParams::Builder::hasBuckets() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Node::ExchangeParams::Reader::getBuckets() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Node::ExchangeParams::Builder::getBuckets() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::ExchangeParams::Builder::setBuckets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline void Node::ExchangeParams::Builder::setBuckets(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Node::ExchangeParams::Builder::initBuckets(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void Node::ExchangeParams::Builder::adoptBuckets(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Node::ExchangeParams::Builder::disownBuckets() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::ExchangeResults::Reader::hasEntries() const {
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -47,6 +47,28 @@
 
 } // namespace
 
+fleet_spec linearChain(unsigned Length, unsigned Upstreams) {
+  fleet_spec Spec;
+  Spec.Organisations = {"alpha"};
+  for (unsigned I = 1; I <= Length; ++I) {
+    service_spec Service;
+    Service.Name = "s" + std::to_string(I);
+    Service.Upstreams = Upstreams;
+    Service.Slots = 30;
+    Service.Paths["/run"].ServiceTime = std::chrono::microseconds(500);
+    if (I < Length) {
+      Service.Paths["/run"].Children = {{"step" + std::to_string(I + 1)}};
+    }
+    Spec.Services.push_back(Service);
+    template_spec Template;
+    Template.Name = "step" + std::to_string(I);
+    Template.Service = Service.Name;
+    Template.Path = "/run";
+    Spec.Templates.push_back(Template);
+  }
+  return Spec;
+}
+
 unsigned freePort() {
   // Below the range from which the system takes ports for outgoing
   // connections, so that none of these takes the port before it is used.
--- a/standins/fleet.h
+++ b/standins/fleet.h
@@ -63,6 +63,10 @@
   std::unique_ptr<relay> Relay;
 };
 
+/// A chain of \p Length services of \p Upstreams upstreams each, in which the
+/// idempotent template `step1` calls `step2` and so on.
+fleet_spec linearChain(unsigned Length, unsigned Upstreams);
+
 /// A free TCP port of the loopback interface.
 unsigned freePort();
 
