--- /dev/null
+++ b/cmake/figplank_module.cmake
@@ -0,0 +1,18 @@
+# figplank_module(NAME SOURCES ... DEPENDS ...) declares one static library per
+# module; figplank_tests(NAME SOURCES ... DEPENDS ...) one CppUTest program.
+include(CMakeParseArguments)
+
+function(figplank_module NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(figplank_${NAME} STATIC ${ARG_SOURCES})
+  target_link_libraries(figplank_${NAME} PUBLIC figplank_options ${ARG_DEPENDS})
+endfunction()
+
+function(figplank_tests NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${NAME}_tests ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/src/framework/tests/main.cpp)
+  target_link_libraries(${NAME}_tests PRIVATE figplank_options ${ARG_DEPENDS} CppUTest CppUTestExt)
+  target_compile_definitions(${NAME}_tests PRIVATE
+    FIGPLANK_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/data")
+  add_test(NAME ${NAME} COMMAND ${NAME}_tests -v)
+endfunction()
--- /dev/null
+++ b/src/admission/concurrencylimit.cpp
@@ -0,0 +1,113 @@
+#include "admission/concurrencylimit.h"
+
+#include <algorithm>
+
+namespace figplank::admission {
+namespace {
+
+constexpr double LeastLimit = 1.0;
+/// Part of the limit that must have been used for it to grow.
+constexpr double UsedFraction = 0.8;
+
+double coldLimit(const limit_settings &Settings) {
+  return std::max(LeastLimit, Settings.Slots * Settings.ColdFraction);
+}
+
+void beginWindow(concurrency_limit &Limit, framework::monotonic_time Now) {
+  Limit.WindowEnd = Now + Limit.Settings.Window;
+  Limit.MostInFlight = Limit.InFlight;
+  Limit.Completed = 0;
+  Limit.Failed = 0;
+  Limit.TimedOut = 0;
+  Limit.ShedInWindow = false;
+}
+
+/// The factor by which the ended window changes the limit.
+double windowFactor(const concurrency_limit &Limit) {
+  double Ended = Limit.Completed + Limit.Failed + Limit.TimedOut;
+  if (Limit.ShedInWindow || Ended <= 0.0) {
+    return 1.0;
+  }
+  const limit_settings &Settings = Limit.Settings;
+  if (Limit.Failed >= Settings.FailureThreshold * Ended) {
+    return Settings.FailureFactor;
+  }
+  if (Limit.TimedOut >= Settings.FailureThreshold * Ended) {
+    return Settings.TimeoutFactor;
+  }
+  bool Used = Limit.MostInFlight >= UsedFraction * Limit.Limit;
+  return Used ? Settings.Growth : 1.0;
+}
+
+} // namespace
+
+concurrency_limit startLimit(const limit_settings &Settings,
+                             framework::monotonic_time Now) {
+  concurrency_limit Limit;
+  Limit.Settings = Settings;
+  Limit.Limit = coldLimit(Settings);
+  beginWindow(Limit, Now);
+  return Limit;
+}
+
+void setSlots(concurrency_limit &Limit, double Slots) {
+  Limit.Settings.Slots = std::max(LeastLimit, Slots);
+  Limit.Limit = std::min(Limit.Limit, Limit.Settings.Slots);
+}
+
+void restartCold(concurrency_limit &Limit) {
+  Limit.Limit = std::min(Limit.Limit, coldLimit(Limit.Settings));
+}
+
+bool hasRoom(const concurrency_limit &Limit) {
+  return Limit.InFlight + 1 <= Limit.Limit;
+}
+
+void startRun(concurrency_limit &Limit) {
+  ++Limit.InFlight;
+  Limit.MostInFlight = std::max(Limit.MostInFlight, Limit.InFlight);
+}
+
+void endRun(concurrency_limit &Limit, run_result Result) {
+  std::uint32_t Running = Limit.InFlight;
+  if (Limit.InFlight > 0) {
+    --Limit.InFlight;
+  }
+  switch (Result) {
+  case run_result::Completed:
+    ++Limit.Completed;
+    break;
+  case run_result::Failed:
+    ++Limit.Failed;
+    break;
+  case run_result::TimedOut:
+    ++Limit.TimedOut;
+    break;
+  case run_result::Cancelled:
+    break;
+  case run_result::Shed:
+    if (!Limit.ShedInWindow) {
+      double Reached = std::min(Limit.Limit, static_cast<double>(Running));
+      Limit.Limit = std::max(LeastLimit, Reached * Limit.Settings.ShedFactor);
+      Limit.ShedInWindow = true;
+    }
+    break;
+  }
+}
+
+bool advanceLimit(concurrency_limit &Limit, framework::monotonic_time Now) {
+  if (Now < Limit.WindowEnd) {
+    return false;
+  }
+  Limit.Limit *= windowFactor(Limit);
+  Limit.Limit = std::clamp(Limit.Limit, LeastLimit,
+                           std::max(LeastLimit, Limit.Settings.Slots));
+  double Ended = Limit.Completed + Limit.Failed + Limit.TimedOut;
+  if (Ended > 0.0) {
+    Limit.FailureRate = Limit.Failed / Ended;
+  }
+  beginWindow(Limit, Now);
+  return true;
+}
+
+} // namespace figplank::admission
--- /dev/null
+++ b/src/admission/sharecontroller.h
@@ -0,0 +1,77 @@
+/// \file
+/// Measures the demand at one upstream and sets the shares that fit it.
+#pragma once
+
+#include "admission/fairshare.h"
+#include "configuration/store.h"
+#include "framework/timetypes.h"
+
+#include <array>
+#include <string_view>
+
+namespace figplank::admission {
+
+struct share_settings {
+  framework::milliseconds Window{100};
+  /// Weight of the newest window in the smoothed demand.
+  double Smoothing = 0.3;
+  /// Queue delay above which less is admitted.
+  framework::milliseconds TargetDelay{20};
+  /// Change of the correction per window.
+  double DecreaseFactor = 0.95;
+  double IncreaseFactor = 1.02;
+  double LeastCorrection = 0.5;
+  double MostCorrection = 1.3;
+  /// Organisations without demand are forgotten below this demand.
+  double ForgetBelow = 1e-4;
+  /// Organisations kept per rank; others share one row.
+  std::size_t MaxOrganisations = 1000;
+};
+
+/// One organisation's row.
+struct demand_row {
+  /// Slot-seconds that arrived since the window began.
+  double Arrived = 0.0;
+  /// Slot-seconds per second, smoothed.
+  double Demand = 0.0;
+  double Share = 1.0;
+};
+
+struct share_controller {
+  share_settings Settings;
+  std::array<configuration::text_map<demand_row>, RankCount> Rows;
+  /// Corrects the capacity for what the measured service times miss.
+  double Correction = 1.0;
+  framework::monotonic_time WindowStart;
+  bool Refusing = false;
+};
+
+/// What the node measured in the window that ends.
+struct window_measure {
+  /// Concurrent requests allowed.
+  double Limit = 1.0;
+  /// Most concurrent requests in the window.
+  double MostInFlight = 0.0;
+  /// Longest wait in the queue of a request that left it in the window.
+  framework::microseconds QueueDelay{0};
+};
+
+share_controller startShares(const share_settings &Settings,
+                             framework::monotonic_time Now);
+
+/// Counts an arrival that stands for \p Weight requests of
+/// \p ServiceSeconds each.
+void recordArrival(share_controller &Controller, std::uint8_t Rank,
+                   std::string_view Organisation, double Weight,
+                   double ServiceSeconds);
+
+/// The share of the organisation's demand that is admitted now.
+double shareOf(const share_controller &Controller, std::uint8_t Rank,
+               std::string_view Organisation);
+
+/// Ends the window if it is over and sets new shares. Returns whether it did.
+bool advanceShares(share_controller &Controller, const window_measure &Measure,
+                   const std::array<double, RankCount> &MinimumShares,
+                   framework::monotonic_time Now);
+
+} // namespace figplank::admission
--- /dev/null
+++ b/src/configuration/configurationtypes.h
@@ -0,0 +1,121 @@
+/// \file
+/// Types of the published configuration: templates, parameters, services and
+/// the list of instances.
+#pragma once
+
+#include "framework/enumnames.h"
+#include "framework/timetypes.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace figplank::configuration {
+
+/// Ranks run from 0, the most urgent, to RankCount - 1.
+inline constexpr std::uint8_t RankCount = 8;
+
+/// A closed range with the value that applies where an organisation sets none.
+template <typename Number> struct bounded_choice {
+  Number Default{};
+  Number Least{};
+  Number Most{};
+
+  bool operator==(const bounded_choice &) const = default;
+};
+
+/// A class of work, written by an operator under `templates/NAME`.
+struct work_template {
+  std::string Name;
+  std::string Service;
+  /// Path of the request to the backend server.
+  std::string Path;
+  bounded_choice<std::uint8_t> Rank;
+  bounded_choice<std::uint32_t> DeadlineMs;
+  bool Idempotent = true;
+  /// Tries beyond the first that the whole tree of calls may spend.
+  std::uint8_t ExtraTries = 0;
+  /// Share of an upstream's capacity that the rank keeps under overload.
+  double MinimumShare = 0.0;
+  std::uint32_t MaxBodyBytes = 0;
+
+  bool operator==(const work_template &) const = default;
+};
+
+/// An organisation's choices, under `parameters/ORGANISATION/TEMPLATE`.
+struct work_parameters {
+  std::string Organisation;
+  std::string Template;
+  std::optional<std::uint8_t> Rank;
+  std::optional<std::uint32_t> DeadlineMs;
+  std::optional<bool> Idempotent;
+
+  bool operator==(const work_parameters &) const = default;
+};
+
+/// One upstream of a roster.
+struct roster_member {
+  std::string Name;
+  std::string Zone;
+  /// Address of the node's RPC port, `IP:PORT`.
+  std::string Address;
+
+  bool operator==(const roster_member &) const = default;
+};
+
+/// A service, under `services/NAME`. The roster decides the home of each
+/// non-idempotent request; Previous names the roster that it replaces for as
+/// long as old homes may still run work.
+struct service_settings {
+  std::string Name;
+  /// Concurrent requests that one backend server takes.
+  std::uint32_t Slots = 0;
+  std::vector<roster_member> Roster;
+  std::vector<roster_member> Previous;
+
+  bool operator==(const service_settings &) const = default;
+};
+
+enum class instance_state : std::uint8_t { Live, Leaving };
+
+inline constexpr std::array<framework::enum_name<instance_state>, 2>
+    InstanceStateNames{{
+        {instance_state::Live, "live"},
+        {instance_state::Leaving, "leaving"},
+    }};
+
+/// One row of the platform's lagging list, under `instances/SERVICE/NAME`.
+struct instance {
+  std::string Service;
+  std::string Name;
+  std::string Zone;
+  std::string Address;
+  instance_state State = instance_state::Live;
+
+  bool operator==(const instance &) const = default;
+};
+
+/// A template as one organisation uses it.
+struct effective_work {
+  std::string Template;
+  std::string Service;
+  std::string Path;
+  std::uint8_t Rank = 0;
+  framework::milliseconds Deadline{0};
+  bool Idempotent = true;
+  std::uint8_t ExtraTries = 0;
+  std::uint32_t MaxBodyBytes = 0;
+};
+
+/// One key of the platform at one revision. An empty value is a deletion.
+struct published_entry {
+  std::string Key;
+  std::uint64_t Revision = 0;
+  std::string Value;
+
+  bool operator==(const published_entry &) const = default;
+};
+
+} // namespace figplank::configuration
--- /dev/null
+++ b/src/configuration/jsonreader.cpp
@@ -0,0 +1,126 @@
+#include "configuration/jsonreader.h"
+
+#include <algorithm>
+
+namespace figplank::configuration {
+namespace {
+
+using nlohmann::json;
+
+/// The member, or null after a finding if a required one is missing.
+const json *findMember(json_reader &Reader, std::string_view Name,
+                       bool Required) {
+  auto Found = Reader.Object.find(std::string(Name));
+  if (Found != Reader.Object.end()) {
+    return &*Found;
+  }
+  if (Required) {
+    addFinding(Reader, Name, "is missing");
+  }
+  return nullptr;
+}
+
+} // namespace
+
+void addFinding(json_reader &Reader, std::string_view Name,
+                std::string_view Problem) {
+  std::string Value;
+  if (Reader.Object.is_object()) {
+    auto Found = Reader.Object.find(std::string(Name));
+    if (Found != Reader.Object.end()) {
+      Value = Found->dump(-1, ' ', false, json::error_handler_t::replace)
+                  .substr(0, 80);
+    }
+  }
+  std::string Place = Reader.Place;
+  if (!Name.empty()) {
+    Place += "/" + std::string(Name);
+  }
+  Reader.Findings.push_back(
+      {std::move(Place), std::move(Value), std::string(Problem)});
+}
+
+bool requireObject(json_reader &Reader) {
+  if (Reader.Object.is_object()) {
+    return true;
+  }
+  addFinding(Reader, "", "must be a JSON object");
+  return false;
+}
+
+void refuseUnknownMembers(json_reader &Reader,
+                          std::initializer_list<std::string_view> Known) {
+  for (const auto &Member : Reader.Object.items()) {
+    if (std::find(Known.begin(), Known.end(), Member.key()) == Known.end()) {
+      addFinding(Reader, Member.key(), "is not a known member");
+    }
+  }
+}
+
+std::optional<std::string> readText(json_reader &Reader, std::string_view Name,
+                                    std::size_t MaxLength, bool Required) {
+  const json *Member = findMember(Reader, Name, Required);
+  if (Member == nullptr) {
+    return std::nullopt;
+  }
+  if (!Member->is_string() || Member->get_ref<const std::string &>().empty() ||
+      Member->get_ref<const std::string &>().size() > MaxLength) {
+    addFinding(Reader, Name,
+               "must be a text of 1 to " + std::to_string(MaxLength) +
+                   " characters");
+    return std::nullopt;
+  }
+  return Member->get<std::string>();
+}
+
+std::optional<std::uint32_t> readWhole(json_reader &Reader,
+                                       std::string_view Name,
+                                       std::uint32_t Least, std::uint32_t Most,
+                                       bool Required) {
+  const json *Member = findMember(Reader, Name, Required);
+  if (Member == nullptr) {
+    return std::nullopt;
+  }
+  bool InRange = Member->is_number_unsigned() &&
+                 Member->get<std::uint64_t>() >= Least &&
+                 Member->get<std::uint64_t>() <= Most;
+  if (!InRange) {
+    addFinding(Reader, Name,
+               "must be a whole number from " + std::to_string(Least) + " to " +
+                   std::to_string(Most));
+    return std::nullopt;
+  }
+  return Member->get<std::uint32_t>();
+}
+
+std::optional<double> readNumber(json_reader &Reader, std::string_view Name,
+                                 double Least, double Most, bool Required) {
+  const json *Member = findMember(Reader, Name, Required);
+  if (Member == nullptr) {
+    return std::nullopt;
+  }
+  bool InRange = Member->is_number() && Member->get<double>() >= Least &&
+                 Member->get<double>() <= Most;
+  if (!InRange) {
+    addFinding(Reader, Name,
+               "must be a number from " + std::to_string(Least) + " to " +
+                   std::to_string(Most));
+    return std::nullopt;
+  }
+  return Member->get<double>();
+}
+
+std::optional<bool> readBoolean(json_reader &Reader, std::string_view Name,
+                                bool Required) {
+  const json *Member = findMember(Reader, Name, Required);
+  if (Member == nullptr) {
+    return std::nullopt;
+  }
+  if (!Member->is_boolean()) {
+    addFinding(Reader, Name, "must be true or false");
+    return std::nullopt;
+  }
+  return Member->get<bool>();
+}
+
+} // namespace figplank::configuration
--- /dev/null
+++ b/src/configuration/store.cpp
@@ -0,0 +1,217 @@
+#include "configuration/store.h"
+
+#include "framework/hashing.h"
+
+#include <algorithm>
+
+namespace figplank::configuration {
+namespace {
+
+std::uint64_t entryHash(const published_entry &Entry) {
+  return framework::hashText(Entry.Key, Entry.Revision);
+}
+
+void replaceDigest(store &Store, const published_entry *Old,
+                   const published_entry &New) {
+  std::uint64_t &Bucket = Store.Digests[bucketOf(New.Key)];
+  if (Old != nullptr) {
+    Bucket ^= entryHash(*Old);
+  }
+  Bucket ^= entryHash(New);
+}
+
+template <typename Value>
+void eraseNested(text_map<text_map<Value>> &Map, const std::string &Outer,
+                 const std::string &Inner) {
+  auto Found = Map.find(Outer);
+  if (Found == Map.end()) {
+    return;
+  }
+  Found->second.erase(Inner);
+  if (Found->second.empty()) {
+    Map.erase(Found);
+  }
+}
+
+void removeValue(catalog &Catalog, const std::string &Key) {
+  std::size_t First = Key.find('/');
+  if (First == std::string::npos) {
+    return;
+  }
+  std::string Kind = Key.substr(0, First);
+  std::string Rest = Key.substr(First + 1);
+  std::size_t Second = Rest.find('/');
+  if (Kind == "templates") {
+    Catalog.Templates.erase(Rest);
+  } else if (Kind == "services") {
+    Catalog.Services.erase(Rest);
+  } else if (Second != std::string::npos && Kind == "parameters") {
+    eraseNested(Catalog.Parameters, Rest.substr(0, Second),
+                Rest.substr(Second + 1));
+  } else if (Second != std::string::npos && Kind == "instances") {
+    eraseNested(Catalog.Instances, Rest.substr(0, Second),
+                Rest.substr(Second + 1));
+  }
+}
+
+struct value_inserter {
+  catalog &Catalog;
+
+  void operator()(const std::monostate &) const {}
+  void operator()(const work_template &Value) const {
+    Catalog.Templates[Value.Name] = Value;
+  }
+  void operator()(const work_parameters &Value) const {
+    Catalog.Parameters[Value.Organisation][Value.Template] = Value;
+  }
+  void operator()(const service_settings &Value) const {
+    Catalog.Services[Value.Name] = Value;
+  }
+  void operator()(const instance &Value) const {
+    Catalog.Instances[Value.Service][Value.Name] = Value;
+  }
+};
+
+template <typename Number>
+Number clampChoice(const bounded_choice<Number> &Choice,
+                   std::optional<Number> Wanted) {
+  if (!Wanted) {
+    return Choice.Default;
+  }
+  return std::clamp(*Wanted, Choice.Least, Choice.Most);
+}
+
+} // namespace
+
+std::size_t bucketOf(std::string_view Key) {
+  return static_cast<std::size_t>(framework::hashText(Key) % DigestBuckets);
+}
+
+apply_result applyEntry(store &Store, const published_entry &Entry) {
+  auto Held = Store.Newest.find(Entry.Key);
+  if (Held != Store.Newest.end() && Held->second.Revision >= Entry.Revision) {
+    ++Store.IgnoredOlder;
+    return apply_result::NotNewer;
+  }
+  if (Held != Store.Newest.end()) {
+    Store.ByRevision.erase({Held->second.Revision, Entry.Key});
+  }
+  replaceDigest(Store, Held == Store.Newest.end() ? nullptr : &Held->second,
+                Entry);
+  Store.Newest[Entry.Key] = Entry;
+  Store.ByRevision.emplace(Entry.Revision, Entry.Key);
+  if (Entry.Value.empty()) {
+    removeValue(Store.Catalog, Entry.Key);
+    Store.Refused.erase(Entry.Key);
+    Store.InForce[Entry.Key] = Entry.Revision;
+    return apply_result::Accepted;
+  }
+  validation_result Checked = validateValue(Entry.Key, Entry.Value);
+  if (!Checked.Findings.empty()) {
+    Store.Refused[Entry.Key] = {Entry.Revision, std::move(Checked.Findings)};
+    return apply_result::Refused;
+  }
+  std::visit(value_inserter{Store.Catalog}, Checked.Value);
+  Store.Refused.erase(Entry.Key);
+  Store.InForce[Entry.Key] = Entry.Revision;
+  return apply_result::Accepted;
+}
+
+std::uint64_t summaryDigest(const store &Store) {
+  return framework::hashText(
+      std::string_view(reinterpret_cast<const char *>(Store.Digests.data()),
+                       Store.Digests.size() * sizeof(std::uint64_t)));
+}
+
+std::uint64_t highestRevision(const store &Store) {
+  return Store.ByRevision.empty() ? 0 : Store.ByRevision.rbegin()->first;
+}
+
+std::vector<published_entry> entriesNewerThan(const store &Store,
+                                              std::uint64_t Revision,
+                                              std::size_t MaxBytes) {
+  std::vector<published_entry> Entries;
+  std::size_t Bytes = 0;
+  auto First = Store.ByRevision.lower_bound({Revision + 1, std::string()});
+  for (auto It = First; It != Store.ByRevision.end(); ++It) {
+    const published_entry &Entry = Store.Newest.find(It->second)->second;
+    Bytes += Entry.Key.size() + Entry.Value.size();
+    if (Bytes > MaxBytes && !Entries.empty()) {
+      break;
+    }
+    Entries.push_back(Entry);
+  }
+  return Entries;
+}
+
+std::vector<published_entry> entriesThatDiffer(const store &Store,
+                                               const digest_buckets &Other,
+                                               std::size_t MaxBytes) {
+  std::vector<published_entry> Entries;
+  std::size_t Bytes = 0;
+  for (const auto &[Key, Entry] : Store.Newest) {
+    std::size_t Bucket = bucketOf(Key);
+    if (Store.Digests[Bucket] == Other[Bucket]) {
+      continue;
+    }
+    Bytes += Key.size() + Entry.Value.size();
+    if (Bytes > MaxBytes && !Entries.empty()) {
+      break;
+    }
+    Entries.push_back(Entry);
+  }
+  return Entries;
+}
+
+effective_work defaultWork(const work_template &Template) {
+  effective_work Work;
+  Work.Template = Template.Name;
+  Work.Service = Template.Service;
+  Work.Path = Template.Path;
+  Work.Rank = Template.Rank.Default;
+  Work.Deadline = framework::milliseconds(Template.DeadlineMs.Default);
+  Work.Idempotent = Template.Idempotent;
+  Work.ExtraTries = Template.ExtraTries;
+  Work.MaxBodyBytes = Template.MaxBodyBytes;
+  return Work;
+}
+
+std::optional<effective_work> resolveWork(const catalog &Catalog,
+                                          std::string_view Organisation,
+                                          std::string_view Template) {
+  auto Found = Catalog.Templates.find(Template);
+  auto Member = Catalog.Parameters.find(Organisation);
+  if (Found == Catalog.Templates.end() || Member == Catalog.Parameters.end()) {
+    return std::nullopt;
+  }
+  auto Chosen = Member->second.find(Template);
+  if (Chosen == Member->second.end()) {
+    return std::nullopt;
+  }
+  const work_template &Base = Found->second;
+  const work_parameters &Parameters = Chosen->second;
+  effective_work Work = defaultWork(Base);
+  Work.Rank = clampChoice(Base.Rank, Parameters.Rank);
+  Work.Deadline = framework::milliseconds(
+      clampChoice(Base.DeadlineMs, Parameters.DeadlineMs));
+  // NOTE An organisation may only be stricter than the operator: work that the
+  // template calls non-idempotent stays so.
+  Work.Idempotent = Base.Idempotent && Parameters.Idempotent.value_or(true);
+  return Work;
+}
+
+std::array<double, RankCount> minimumShares(const catalog &Catalog,
+                                            std::string_view Service) {
+  std::array<double, RankCount> Shares{};
+  for (const auto &[Name, Template] : Catalog.Templates) {
+    if (Template.Service == Service) {
+      for (std::uint8_t Rank = Template.Rank.Least; Rank <= Template.Rank.Most;
+           ++Rank) {
+        Shares[Rank] = std::max(Shares[Rank], Template.MinimumShare);
+      }
+    }
+  }
+  return Shares;
+}
+
+} // namespace figplank::configuration
--- /dev/null
+++ b/src/configuration/validation.cpp
@@ -0,0 +1,247 @@
+#include "configuration/validation.h"
+
+#include "configuration/jsonreader.h"
+#include "framework/settings.h"
+
+#include <set>
+
+namespace figplank::configuration {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t MaxNameLength = 100;
+constexpr std::size_t MaxPathLength = 500;
+constexpr std::uint32_t MaxDeadlineMs = 600'000;
+constexpr std::uint32_t MaxExtraTries = 10;
+constexpr std::uint32_t MaxSlots = 100'000;
+constexpr std::uint32_t MaxTemplateBodyBytes = 8U << 20U;
+constexpr double MaxMinimumShare = 0.5;
+constexpr double DefaultMinimumShare = 0.05;
+constexpr std::uint32_t DefaultMaxBodyBytes = 1U << 20U;
+
+/// The parts of `a/b/c`.
+std::vector<std::string> splitKey(std::string_view Key) {
+  std::vector<std::string> Parts;
+  std::size_t Start = 0;
+  while (true) {
+    std::size_t Slash = Key.find('/', Start);
+    Parts.emplace_back(Key.substr(Start, Slash - Start));
+    if (Slash == std::string_view::npos) {
+      return Parts;
+    }
+    Start = Slash + 1;
+  }
+}
+
+bool isName(std::string_view Name) {
+  if (Name.empty() || Name.size() > MaxNameLength) {
+    return false;
+  }
+  for (char C : Name) {
+    bool Plain = (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+                 (C >= '0' && C <= '9') || C == '-' || C == '_' || C == '.';
+    if (!Plain) {
+      return false;
+    }
+  }
+  return true;
+}
+
+template <typename Number>
+bounded_choice<Number> readChoice(json_reader &Parent, std::string_view Name,
+                                  std::uint32_t Most) {
+  bounded_choice<Number> Choice;
+  auto Found = Parent.Object.find(std::string(Name));
+  if (Found == Parent.Object.end()) {
+    addFinding(Parent, Name, "is missing");
+    return Choice;
+  }
+  json_reader Reader{*Found, Parent.Place + "/" + std::string(Name),
+                     Parent.Findings};
+  if (!requireObject(Reader)) {
+    return Choice;
+  }
+  refuseUnknownMembers(Reader, {"default", "least", "most"});
+  auto Default = readWhole(Reader, "default", 0, Most, true);
+  Choice.Default = static_cast<Number>(Default.value_or(0));
+  Choice.Least = static_cast<Number>(
+      readWhole(Reader, "least", 0, Most, false).value_or(Choice.Default));
+  Choice.Most = static_cast<Number>(
+      readWhole(Reader, "most", 0, Most, false).value_or(Choice.Default));
+  if (Default &&
+      (Choice.Default < Choice.Least || Choice.Default > Choice.Most)) {
+    addFinding(Reader, "default", "must lie between least and most");
+  }
+  return Choice;
+}
+
+parsed_value readTemplate(json_reader &Reader, const std::string &Name) {
+  refuseUnknownMembers(Reader,
+                       {"service", "path", "rank", "deadline_ms", "idempotent",
+                        "extra_tries", "minimum_share", "max_body_bytes"});
+  work_template Template;
+  Template.Name = Name;
+  Template.Service =
+      readText(Reader, "service", MaxNameLength, true).value_or("");
+  Template.Path = readText(Reader, "path", MaxPathLength, true).value_or("/");
+  if (Template.Path.front() != '/') {
+    addFinding(Reader, "path", "must begin with /");
+  }
+  Template.Rank = readChoice<std::uint8_t>(Reader, "rank", RankCount - 1);
+  Template.DeadlineMs =
+      readChoice<std::uint32_t>(Reader, "deadline_ms", MaxDeadlineMs);
+  Template.Idempotent = readBoolean(Reader, "idempotent", true).value_or(false);
+  Template.ExtraTries = static_cast<std::uint8_t>(
+      readWhole(Reader, "extra_tries", 0, MaxExtraTries, false).value_or(2));
+  Template.MinimumShare =
+      readNumber(Reader, "minimum_share", 0.0, MaxMinimumShare, false)
+          .value_or(DefaultMinimumShare);
+  Template.MaxBodyBytes =
+      readWhole(Reader, "max_body_bytes", 1, MaxTemplateBodyBytes, false)
+          .value_or(DefaultMaxBodyBytes);
+  return Template;
+}
+
+parsed_value readParameters(json_reader &Reader,
+                            const std::string &Organisation,
+                            const std::string &Template) {
+  refuseUnknownMembers(Reader, {"rank", "deadline_ms", "idempotent"});
+  work_parameters Parameters;
+  Parameters.Organisation = Organisation;
+  Parameters.Template = Template;
+  auto Rank = readWhole(Reader, "rank", 0, RankCount - 1, false);
+  if (Rank) {
+    Parameters.Rank = static_cast<std::uint8_t>(*Rank);
+  }
+  Parameters.DeadlineMs =
+      readWhole(Reader, "deadline_ms", 1, MaxDeadlineMs, false);
+  Parameters.Idempotent = readBoolean(Reader, "idempotent", false);
+  return Parameters;
+}
+
+std::optional<std::string> readAddress(json_reader &Reader) {
+  auto Address = readText(Reader, "address", MaxNameLength, true);
+  if (Address && !framework::isAddress(*Address)) {
+    addFinding(Reader, "address", "must be IP:PORT with an IP number");
+  }
+  return Address;
+}
+
+std::vector<roster_member> readRoster(json_reader &Parent,
+                                      std::string_view Name, bool Required) {
+  std::vector<roster_member> Roster;
+  auto Found = Parent.Object.find(std::string(Name));
+  if (Found == Parent.Object.end()) {
+    if (Required) {
+      addFinding(Parent, Name, "is missing");
+    }
+    return Roster;
+  }
+  if (!Found->is_array() || (Required && Found->empty())) {
+    addFinding(Parent, Name,
+               Required ? "must be a list of one or more upstreams"
+                        : "must be a list");
+    return Roster;
+  }
+  std::set<std::string> Names;
+  for (std::size_t I = 0; I < Found->size(); ++I) {
+    std::string Place =
+        Parent.Place + "/" + std::string(Name) + "/" + std::to_string(I);
+    json_reader Reader{(*Found)[I], std::move(Place), Parent.Findings};
+    if (!requireObject(Reader)) {
+      continue;
+    }
+    refuseUnknownMembers(Reader, {"name", "zone", "address"});
+    roster_member Member;
+    Member.Name = readText(Reader, "name", MaxNameLength, true).value_or("");
+    Member.Zone = readText(Reader, "zone", MaxNameLength, true).value_or("");
+    Member.Address = readAddress(Reader).value_or("");
+    if (!Names.insert(Member.Name).second) {
+      addFinding(Reader, "name", "stands twice in the roster");
+    }
+    Roster.push_back(std::move(Member));
+  }
+  return Roster;
+}
+
+parsed_value readService(json_reader &Reader, const std::string &Name) {
+  refuseUnknownMembers(Reader, {"slots", "roster", "previous"});
+  service_settings Service;
+  Service.Name = Name;
+  Service.Slots = readWhole(Reader, "slots", 1, MaxSlots, true).value_or(1);
+  Service.Roster = readRoster(Reader, "roster", true);
+  Service.Previous = readRoster(Reader, "previous", false);
+  return Service;
+}
+
+parsed_value readInstance(json_reader &Reader, const std::string &Service,
+                          const std::string &Name) {
+  refuseUnknownMembers(Reader, {"zone", "address", "state"});
+  instance Instance;
+  Instance.Service = Service;
+  Instance.Name = Name;
+  Instance.Zone = readText(Reader, "zone", MaxNameLength, true).value_or("");
+  Instance.Address = readAddress(Reader).value_or("");
+  auto State = readText(Reader, "state", MaxNameLength, true);
+  auto Known = framework::valueOf(InstanceStateNames, State.value_or("live"));
+  if (!Known) {
+    addFinding(Reader, "state", "must be live or leaving");
+  }
+  Instance.State = Known.value_or(instance_state::Live);
+  return Instance;
+}
+
+bool areNames(const std::vector<std::string> &Parts) {
+  for (const std::string &Part : Parts) {
+    if (!isName(Part)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+validation_result validateValue(std::string_view Key, std::string_view Value) {
+  validation_result Result;
+  std::string Place(Key);
+  std::vector<std::string> Parts = splitKey(Key);
+  if (!areNames(Parts)) {
+    Result.Findings.push_back(
+        {Place, "",
+         "the key's parts must be 1 to 100 letters, digits, '-', '_' or '.'"});
+    return Result;
+  }
+  if (Value.size() > MaxValueBytes) {
+    Result.Findings.push_back({Place, "", "the value is longer than 1 MiB"});
+    return Result;
+  }
+  json Document = json::parse(Value, nullptr, false);
+  if (Document.is_discarded()) {
+    Result.Findings.push_back(
+        {Place, std::string(Value.substr(0, 80)), "is not valid JSON"});
+    return Result;
+  }
+  json_reader Reader{Document, Place + ": ", Result.Findings};
+  if (!requireObject(Reader)) {
+    return Result;
+  }
+  if (Parts[0] == "templates" && Parts.size() == 2) {
+    Result.Value = readTemplate(Reader, Parts[1]);
+  } else if (Parts[0] == "parameters" && Parts.size() == 3) {
+    Result.Value = readParameters(Reader, Parts[1], Parts[2]);
+  } else if (Parts[0] == "services" && Parts.size() == 2) {
+    Result.Value = readService(Reader, Parts[1]);
+  } else if (Parts[0] == "instances" && Parts.size() == 3) {
+    Result.Value = readInstance(Reader, Parts[1], Parts[2]);
+  } else {
+    Result.Findings.push_back(
+        {Place, "",
+         "the key must be templates/NAME, parameters/ORGANISATION/TEMPLATE, "
+         "services/NAME or instances/SERVICE/NAME"});
+  }
+  return Result;
+}
+
+} // namespace figplank::configuration
--- /dev/null
+++ b/src/execution/home.cpp
@@ -0,0 +1,260 @@
+#include "execution/home.h"
+
+#include "framework/hashing.h"
+
+#include <algorithm>
+
+namespace figplank::execution {
+namespace {
+
+using configuration::roster_member;
+using framework::outcome;
+using framework::refusal_reason;
+using framework::wall_time;
+
+home_decision refuse(outcome Outcome, refusal_reason Reason) {
+  return {home_verdict::Refuse, Outcome, Reason, {}};
+}
+
+bool isSelf(const roster_member *Member, std::string_view Self) {
+  return Member != nullptr && Member->Address == Self;
+}
+
+/// Why the table may lack the history of an id it does not hold, or None.
+refusal_reason findHistoryGap(const home_table &Table, const request_id &Id,
+                              std::string_view Self) {
+  wall_time Issued = issueTime(Id);
+  if (Issued > Table.LatestNow + Table.Settings.ClockBound) {
+    return refusal_reason::IdFromFuture;
+  }
+  if (Issued + Table.Settings.Retention < Table.LatestNow) {
+    return refusal_reason::IdExpired;
+  }
+  if (Issued <= Table.AcceptFrom) {
+    return refusal_reason::IdBeforeStart;
+  }
+  for (const former_roster &Former : Table.Former) {
+    if (Issued < Former.Until && !isSelf(homeOf(Id, Former.Members), Self)) {
+      return refusal_reason::HomeMoved;
+    }
+  }
+  return refusal_reason::None;
+}
+
+void insertRecord(home_table &Table, const request_id &Id, id_record Record) {
+  bool Fence = Record.State == id_state::Fenced;
+  Table.AnswerBytes += Record.Answer.Body.size();
+  Table.Records[Id] = std::move(Record);
+  Table.ByIssue.emplace(issueTime(Id), Id);
+  ++(Fence ? Table.Fences : Table.Runs);
+}
+
+void eraseRecord(home_table &Table, const request_id &Id) {
+  auto Found = Table.Records.find(Id);
+  if (Found == Table.Records.end()) {
+    return;
+  }
+  Table.AnswerBytes -= Found->second.Answer.Body.size();
+  --(Found->second.State == id_state::Fenced ? Table.Fences : Table.Runs);
+  Table.Records.erase(Found);
+}
+
+/// Fences an id that the table does not hold, or says that it cannot.
+home_decision refuseFresh(home_table &Table, const request_id &Id,
+                          refusal_reason Reason) {
+  if (Table.Fences >= Table.Settings.MaxFences) {
+    return refuse(outcome::Unknown, Reason);
+  }
+  insertRecord(Table, Id, {id_state::Fenced, Reason, {}, {}});
+  return refuse(outcome::NotRun, Reason);
+}
+
+home_decision decideKnown(const id_record &Record) {
+  switch (Record.State) {
+  case id_state::Running:
+    return {home_verdict::Join, outcome::Unknown, refusal_reason::None, {}};
+  case id_state::Completed:
+    return {home_verdict::Known, outcome::Completed, refusal_reason::None, {}};
+  case id_state::Fenced:
+    // NOTE An id handed to another home is out of this node's sight.
+    return refuse(Record.HandedTo.empty() ? outcome::NotRun : outcome::Unknown,
+                  Record.Reason);
+  case id_state::Lost:
+    break;
+  }
+  return refuse(outcome::Unknown, Record.Reason);
+}
+
+bool isFull(const home_table &Table) {
+  return Table.Runs >= Table.Settings.MaxRuns ||
+         Table.AnswerBytes >= Table.Settings.MaxAnswerBytes;
+}
+
+void rememberFormer(home_table &Table,
+                    const std::vector<roster_member> &Members,
+                    const configuration::service_settings &Service,
+                    wall_time Now) {
+  if (Members.empty() || Members == Service.Roster ||
+      Members == Service.Previous) {
+    return;
+  }
+  Table.Former.push_back({Members, Now + Table.Settings.ClockBound});
+}
+
+} // namespace
+
+home_table startHome(const home_settings &Settings, wall_time Now) {
+  home_table Table;
+  Table.Settings = Settings;
+  Table.AcceptFrom = Now + Settings.ClockBound;
+  Table.LatestNow = Now;
+  return Table;
+}
+
+const roster_member *homeOf(const request_id &Id,
+                            const std::vector<roster_member> &Roster) {
+  std::uint64_t Seed = framework::hashText(asText(Id));
+  const roster_member *Best = nullptr;
+  std::uint64_t BestWeight = 0;
+  for (const roster_member &Member : Roster) {
+    std::uint64_t Weight = framework::hashText(Member.Name, Seed);
+    if (Best == nullptr || Weight > BestWeight) {
+      Best = &Member;
+      BestWeight = Weight;
+    }
+  }
+  return Best;
+}
+
+void updateRoster(home_table &Table,
+                  const configuration::service_settings &Service,
+                  wall_time Now) {
+  Table.LatestNow = std::max(Table.LatestNow, Now);
+  rememberFormer(Table, Table.Roster, Service, Now);
+  rememberFormer(Table, Table.Previous, Service, Now);
+  Table.Roster = Service.Roster;
+  Table.Previous = Service.Previous;
+}
+
+void resetHome(home_table &Table, wall_time Now) {
+  Table.LatestNow = std::max(Table.LatestNow, Now);
+  Table.AcceptFrom = Table.LatestNow + Table.Settings.ClockBound;
+}
+
+home_decision decideRun(home_table &Table, const request_id &Id,
+                        std::string_view Self, bool PriorFenced,
+                        wall_time Now) {
+  forgetExpired(Table, Now);
+  if (const id_record *Record = findRecord(Table, Id)) {
+    return decideKnown(*Record);
+  }
+  refusal_reason Gap = findHistoryGap(Table, Id, Self);
+  if (Gap != refusal_reason::None) {
+    return refuse(outcome::Unknown, Gap);
+  }
+  if (!isSelf(homeOf(Id, Table.Roster), Self)) {
+    return refuse(outcome::Unknown, refusal_reason::HomeMoved);
+  }
+  const roster_member *Prior = homeOf(Id, Table.Previous);
+  if (Prior != nullptr && !isSelf(Prior, Self) && !PriorFenced) {
+    return {home_verdict::AskPriorHome, outcome::Unknown, refusal_reason::None,
+            Prior->Address};
+  }
+  if (isFull(Table)) {
+    return refuseFresh(Table, Id, refusal_reason::OutcomeTableFull);
+  }
+  insertRecord(Table, Id, {});
+  return {home_verdict::Run, outcome::Unknown, refusal_reason::None, {}};
+}
+
+void completeRun(home_table &Table, const request_id &Id,
+                 stored_answer Answer) {
+  auto Found = Table.Records.find(Id);
+  if (Found == Table.Records.end()) {
+    return;
+  }
+  Table.AnswerBytes += Answer.Body.size();
+  Found->second.State = id_state::Completed;
+  Found->second.Answer = std::move(Answer);
+}
+
+void loseRun(home_table &Table, const request_id &Id, refusal_reason Reason) {
+  auto Found = Table.Records.find(Id);
+  if (Found == Table.Records.end()) {
+    return;
+  }
+  Found->second.State = id_state::Lost;
+  Found->second.Reason = Reason;
+}
+
+void fenceRun(home_table &Table, const request_id &Id, refusal_reason Reason) {
+  auto Found = Table.Records.find(Id);
+  if (Found == Table.Records.end() ||
+      Found->second.State != id_state::Running) {
+    return;
+  }
+  // NOTE A run that becomes a fence may exceed the limit of fences; the limit
+  // of runs bounds by how much.
+  Found->second.State = id_state::Fenced;
+  Found->second.Reason = Reason;
+  --Table.Runs;
+  ++Table.Fences;
+}
+
+handover_verdict handOver(home_table &Table, const request_id &Id,
+                          std::string_view Self, std::string_view Asker,
+                          wall_time Now) {
+  forgetExpired(Table, Now);
+  const id_record *Record = findRecord(Table, Id);
+  if (Record == nullptr) {
+    const roster_member *Prior = homeOf(Id, Table.Previous);
+    bool Gap = findHistoryGap(Table, Id, Self) != refusal_reason::None;
+    if (Gap || (Prior != nullptr && !isSelf(Prior, Self)) ||
+        Table.Fences >= Table.Settings.MaxFences) {
+      return handover_verdict::Unknowable;
+    }
+    insertRecord(
+        Table, Id,
+        {id_state::Fenced, refusal_reason::HomeMoved, std::string(Asker), {}});
+    return handover_verdict::Granted;
+  }
+  if (Record->State == id_state::Running) {
+    return handover_verdict::Running;
+  }
+  if (Record->HandedTo.empty()) {
+    return handover_verdict::Known;
+  }
+  return Record->HandedTo == Asker ? handover_verdict::Granted
+                                   : handover_verdict::Unknowable;
+}
+
+void adoptRecord(home_table &Table, const request_id &Id, id_record Record) {
+  if (Table.Records.count(Id) == 0) {
+    insertRecord(Table, Id, std::move(Record));
+  }
+}
+
+const id_record *findRecord(const home_table &Table, const request_id &Id) {
+  auto Found = Table.Records.find(Id);
+  return Found == Table.Records.end() ? nullptr : &Found->second;
+}
+
+void forgetExpired(home_table &Table, wall_time Now) {
+  Table.LatestNow = std::max(Table.LatestNow, Now);
+  wall_time Oldest = Table.LatestNow - Table.Settings.Retention;
+  while (!Table.ByIssue.empty() && Table.ByIssue.begin()->first < Oldest) {
+    request_id Id = Table.ByIssue.begin()->second;
+    const id_record *Record = findRecord(Table, Id);
+    if (Record != nullptr && Record->State == id_state::Running) {
+      // A run may outlast the retention; it is forgotten once it has ended.
+      break;
+    }
+    eraseRecord(Table, Id);
+    Table.ByIssue.erase(Table.ByIssue.begin());
+  }
+  std::erase_if(Table.Former, [&](const former_roster &Former) {
+    return Former.Until < Oldest;
+  });
+}
+
+} // namespace figplank::execution
--- /dev/null
+++ b/src/execution/tests/home_tests.cpp
@@ -0,0 +1,295 @@
+#include "execution/home.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <set>
+
+using namespace figplank;
+using namespace figplank::execution;
+using configuration::roster_member;
+using configuration::service_settings;
+using framework::milliseconds;
+using framework::outcome;
+using framework::refusal_reason;
+using framework::wall_time;
+
+namespace {
+
+const std::string SelfAddress = "127.0.0.1:1";
+const std::string OtherAddress = "127.0.0.1:2";
+
+wall_time at(std::int64_t Milliseconds) {
+  return wall_time(milliseconds(Milliseconds));
+}
+
+request_id idAt(std::int64_t Milliseconds, std::uint64_t Low = 1) {
+  return makeRequestId(at(Milliseconds), 7, Low);
+}
+
+service_settings serviceOf(const std::vector<roster_member> &Roster,
+                           const std::vector<roster_member> &Previous = {}) {
+  service_settings Service;
+  Service.Name = "ledger";
+  Service.Slots = 10;
+  Service.Roster = Roster;
+  Service.Previous = Previous;
+  return Service;
+}
+
+roster_member self() { return {"ledger-1", "z1", SelfAddress}; }
+roster_member other() { return {"ledger-2", "z2", OtherAddress}; }
+
+/// A home that started at 0 and is alone in its roster.
+home_table lonelyHome(const home_settings &Settings = {}) {
+  home_table Table = startHome(Settings, at(0));
+  updateRoster(Table, serviceOf({self()}), at(0));
+  return Table;
+}
+
+/// An id issued at \p Milliseconds whose home in {self, other} is \p Address.
+request_id idWithHome(std::int64_t Milliseconds, const std::string &Address) {
+  for (std::uint64_t Low = 1;; ++Low) {
+    request_id Id = idAt(Milliseconds, Low);
+    if (homeOf(Id, {self(), other()})->Address == Address) {
+      return Id;
+    }
+  }
+}
+
+} // namespace
+
+TEST_GROUP(Home){};
+
+TEST(Home, FreshIdRunsOnceAndCopiesJoinIt) {
+  home_table Table = lonelyHome();
+  request_id Id = idAt(10'000);
+  CHECK(decideRun(Table, Id, SelfAddress, false, at(10'000)).Verdict ==
+        home_verdict::Run);
+  CHECK(decideRun(Table, Id, SelfAddress, false, at(10'001)).Verdict ==
+        home_verdict::Join);
+  completeRun(Table, Id, {200, "text/plain", "done"});
+  home_decision Again = decideRun(Table, Id, SelfAddress, false, at(10'002));
+  CHECK(Again.Verdict == home_verdict::Known);
+  CHECK(Again.Outcome == outcome::Completed);
+  STRCMP_EQUAL("done", findRecord(Table, Id)->Answer.Body.c_str());
+}
+
+TEST(Home, FencedIdNeverRunsLater) {
+  home_table Table = lonelyHome();
+  request_id Id = idAt(10'000);
+  decideRun(Table, Id, SelfAddress, false, at(10'000));
+  fenceRun(Table, Id, refusal_reason::Overload);
+  home_decision Copy = decideRun(Table, Id, SelfAddress, false, at(60'000));
+  CHECK(Copy.Verdict == home_verdict::Refuse);
+  CHECK(Copy.Outcome == outcome::NotRun);
+  CHECK(Copy.Reason == refusal_reason::Overload);
+}
+
+TEST(Home, LostRunStaysUnknown) {
+  home_table Table = lonelyHome();
+  request_id Id = idAt(10'000);
+  decideRun(Table, Id, SelfAddress, false, at(10'000));
+  loseRun(Table, Id, refusal_reason::ConnectionLost);
+  home_decision Copy = decideRun(Table, Id, SelfAddress, false, at(10'100));
+  CHECK(Copy.Outcome == outcome::Unknown);
+  CHECK(Copy.Reason == refusal_reason::ConnectionLost);
+}
+
+TEST(Home, ReplacedHomeRunsOnlyIdsIssuedAfterItsStart) {
+  home_table Table = startHome({}, at(100'000));
+  updateRoster(Table, serviceOf({self()}), at(100'000));
+  home_decision Old =
+      decideRun(Table, idAt(99'999), SelfAddress, false, at(100'500));
+  CHECK(Old.Outcome == outcome::Unknown);
+  CHECK(Old.Reason == refusal_reason::IdBeforeStart);
+  // Within the clock bound the id may come from a clock that runs ahead.
+  home_decision Near =
+      decideRun(Table, idAt(102'000), SelfAddress, false, at(102'000));
+  CHECK(Near.Reason == refusal_reason::IdBeforeStart);
+  home_decision New =
+      decideRun(Table, idAt(102'001), SelfAddress, false, at(102'001));
+  CHECK(New.Verdict == home_verdict::Run);
+}
+
+TEST(Home, IdsOutsideTheClockBoundsAreUnknown) {
+  home_table Table = lonelyHome();
+  home_decision Future =
+      decideRun(Table, idAt(20'000), SelfAddress, false, at(10'000));
+  CHECK(Future.Reason == refusal_reason::IdFromFuture);
+  CHECK(Future.Outcome == outcome::Unknown);
+  home_decision Old =
+      decideRun(Table, idAt(10'000), SelfAddress, false, at(200'000));
+  CHECK(Old.Reason == refusal_reason::IdExpired);
+  CHECK(Old.Outcome == outcome::Unknown);
+}
+
+TEST(Home, ForgottenIdsStayRefusedWhenTheClockIsSetBack) {
+  home_table Table = lonelyHome();
+  request_id Id = idAt(10'000);
+  decideRun(Table, Id, SelfAddress, false, at(10'000));
+  completeRun(Table, Id, {200, "", "done"});
+  forgetExpired(Table, at(200'000));
+  POINTERS_EQUAL(nullptr, findRecord(Table, Id));
+  home_decision Copy = decideRun(Table, Id, SelfAddress, false, at(11'000));
+  CHECK(Copy.Verdict == home_verdict::Refuse);
+  CHECK(Copy.Reason == refusal_reason::IdExpired);
+}
+
+TEST(Home, OnlyTheHomeOfTheRosterRuns) {
+  home_table Table = startHome({}, at(0));
+  updateRoster(Table, serviceOf({self(), other()}), at(0));
+  home_decision Foreign = decideRun(Table, idWithHome(10'000, OtherAddress),
+                                    SelfAddress, false, at(10'000));
+  CHECK(Foreign.Reason == refusal_reason::HomeMoved);
+  CHECK(Foreign.Outcome == outcome::Unknown);
+  CHECK(decideRun(Table, idWithHome(10'000, SelfAddress), SelfAddress, false,
+                  at(10'000))
+            .Verdict == home_verdict::Run);
+}
+
+TEST(Home, NewHomeAsksThePreviousOneFirst) {
+  home_table Table = startHome({}, at(0));
+  updateRoster(Table, serviceOf({self()}, {other()}), at(0));
+  request_id Id = idAt(10'000);
+  home_decision Ask = decideRun(Table, Id, SelfAddress, false, at(10'000));
+  CHECK(Ask.Verdict == home_verdict::AskPriorHome);
+  STRCMP_EQUAL(OtherAddress.c_str(), Ask.PriorHome.c_str());
+  CHECK(decideRun(Table, Id, SelfAddress, true, at(10'000)).Verdict ==
+        home_verdict::Run);
+}
+
+TEST(Home, PreviousHomeGivesAnIdToOneAskerOnly) {
+  home_table Old = lonelyHome();
+  request_id Id = idAt(10'000);
+  CHECK(handOver(Old, Id, SelfAddress, OtherAddress, at(10'000)) ==
+        handover_verdict::Granted);
+  CHECK(handOver(Old, Id, SelfAddress, OtherAddress, at(10'001)) ==
+        handover_verdict::Granted);
+  CHECK(handOver(Old, Id, SelfAddress, "127.0.0.1:3", at(10'002)) ==
+        handover_verdict::Unknowable);
+  home_decision Copy = decideRun(Old, Id, SelfAddress, false, at(10'003));
+  CHECK(Copy.Verdict == home_verdict::Refuse);
+  CHECK(Copy.Outcome == outcome::Unknown);
+}
+
+TEST(Home, PreviousHomeTellsWhatItRan) {
+  home_table Old = lonelyHome();
+  request_id Id = idAt(10'000);
+  decideRun(Old, Id, SelfAddress, false, at(10'000));
+  CHECK(handOver(Old, Id, SelfAddress, OtherAddress, at(10'001)) ==
+        handover_verdict::Running);
+  completeRun(Old, Id, {200, "", "done"});
+  CHECK(handOver(Old, Id, SelfAddress, OtherAddress, at(10'002)) ==
+        handover_verdict::Known);
+}
+
+TEST(Home, ReplacedPreviousHomeCannotVouchForOldIds) {
+  home_table Old = startHome({}, at(50'000));
+  updateRoster(Old, serviceOf({self()}), at(50'000));
+  CHECK(handOver(Old, idAt(40'000), SelfAddress, OtherAddress, at(60'000)) ==
+        handover_verdict::Unknowable);
+}
+
+TEST(Home, HomeInTheMiddleOfTwoChangesCannotVouch) {
+  home_table Middle = startHome({}, at(0));
+  updateRoster(Middle, serviceOf({self()}, {other()}), at(0));
+  CHECK(handOver(Middle, idAt(10'000), SelfAddress, "127.0.0.1:3",
+                 at(10'000)) == handover_verdict::Unknowable);
+}
+
+TEST(Home, RosterChangedWithoutPreviousLeavesEarlierIdsUnknown) {
+  home_table Table = startHome({}, at(0));
+  updateRoster(Table, serviceOf({self(), other()}), at(0));
+  request_id Moved = idWithHome(10'000, OtherAddress);
+  updateRoster(Table, serviceOf({self()}), at(11'000));
+  home_decision Decision =
+      decideRun(Table, Moved, SelfAddress, false, at(11'500));
+  CHECK(Decision.Outcome == outcome::Unknown);
+  CHECK(Decision.Reason == refusal_reason::HomeMoved);
+  request_id Later = idWithHome(13'001, OtherAddress);
+  CHECK(decideRun(Table, Later, SelfAddress, false, at(13'001)).Verdict ==
+        home_verdict::Run);
+}
+
+TEST(Home, DroppedPreviousRosterLeavesItsIdsUnknown) {
+  home_table Table = startHome({}, at(0));
+  updateRoster(Table, serviceOf({self()}, {other()}), at(0));
+  updateRoster(Table, serviceOf({self()}), at(20'000));
+  home_decision Decision =
+      decideRun(Table, idAt(19'000), SelfAddress, false, at(20'100));
+  CHECK(Decision.Reason == refusal_reason::HomeMoved);
+}
+
+TEST(Home, SameNameAtAnotherAddressIsAnotherHome) {
+  home_table Table = startHome({}, at(0));
+  roster_member Before = self();
+  Before.Address = OtherAddress;
+  updateRoster(Table, serviceOf({Before}), at(0));
+  CHECK(decideRun(Table, idAt(10'000), SelfAddress, false, at(10'000)).Reason ==
+        refusal_reason::HomeMoved);
+  updateRoster(Table, serviceOf({self()}), at(12'000));
+  CHECK(decideRun(Table, idAt(10'000), SelfAddress, false, at(12'100)).Reason ==
+        refusal_reason::HomeMoved);
+}
+
+TEST(Home, WakingHomeRunsNothingIssuedBefore) {
+  home_table Table = lonelyHome();
+  resetHome(Table, at(100'000));
+  CHECK(
+      decideRun(Table, idAt(99'000), SelfAddress, false, at(100'100)).Reason ==
+      refusal_reason::IdBeforeStart);
+}
+
+TEST(Home, FullTableRefusesNewIdsAndForgetsNoLiveOne) {
+  home_settings Settings;
+  Settings.MaxRuns = 2;
+  Settings.MaxFences = 1;
+  home_table Table = lonelyHome(Settings);
+  request_id First = idAt(10'000, 1);
+  request_id Second = idAt(10'000, 2);
+  decideRun(Table, First, SelfAddress, false, at(10'000));
+  decideRun(Table, Second, SelfAddress, false, at(10'000));
+  home_decision Third =
+      decideRun(Table, idAt(10'000, 3), SelfAddress, false, at(10'000));
+  CHECK(Third.Outcome == outcome::NotRun);
+  CHECK(Third.Reason == refusal_reason::OutcomeTableFull);
+  // No room is left for a fence, so "not run" may no longer be said.
+  home_decision Fourth =
+      decideRun(Table, idAt(10'000, 4), SelfAddress, false, at(10'000));
+  CHECK(Fourth.Outcome == outcome::Unknown);
+  CHECK(decideRun(Table, First, SelfAddress, false, at(10'500)).Verdict ==
+        home_verdict::Join);
+  CHECK(decideRun(Table, Second, SelfAddress, false, at(10'500)).Verdict ==
+        home_verdict::Join);
+}
+
+TEST(Home, RunningIdOutlivesTheRetention) {
+  home_table Table = lonelyHome();
+  request_id Id = idAt(10'000);
+  decideRun(Table, Id, SelfAddress, false, at(10'000));
+  CHECK(decideRun(Table, Id, SelfAddress, false, at(500'000)).Verdict ==
+        home_verdict::Join);
+  completeRun(Table, Id, {200, "", "done"});
+  forgetExpired(Table, at(500'001));
+  LONGS_EQUAL(0, Table.Runs);
+  LONGS_EQUAL(0, Table.AnswerBytes);
+}
+
+TEST(Home, HomesAreSpreadAndMoveLittle) {
+  std::vector<roster_member> Three{
+      self(), other(), {"ledger-3", "z3", "127.0.0.1:3"}};
+  std::vector<roster_member> Two{self(), other()};
+  std::map<std::string, int> Counts;
+  int Moved = 0;
+  for (std::uint64_t Low = 1; Low <= 3'000; ++Low) {
+    request_id Id = idAt(1'000, Low);
+    std::string Home = homeOf(Id, Three)->Name;
+    ++Counts[Home];
+    Moved += Home != "ledger-3" && homeOf(Id, Two)->Name != Home ? 1 : 0;
+  }
+  for (const auto &[Name, Count] : Counts) {
+    CHECK(Count > 800 && Count < 1'200);
+  }
+  LONGS_EQUAL(0, Moved);
+}
--- /dev/null
+++ b/src/framework/logging.cpp
@@ -0,0 +1,122 @@
+#include "framework/logging.h"
+
+#include <easylogging++.h>
+
+#include <cstdio>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace figplank::framework {
+namespace {
+
+bool needsQuotes(std::string_view Text) {
+  if (Text.empty()) {
+    return true;
+  }
+  for (char C : Text) {
+    if (C <= ' ' || C == '"' || C == '=' || C == '\\') {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string quoteValue(std::string_view Text) {
+  if (!needsQuotes(Text)) {
+    return std::string(Text);
+  }
+  std::string Quoted = "\"";
+  for (char C : Text) {
+    if (C == '\n') {
+      Quoted += "\\n";
+    } else if (C == '"' || C == '\\') {
+      Quoted += '\\';
+      Quoted += C;
+    } else if (static_cast<unsigned char>(C) < ' ') {
+      Quoted += '?';
+    } else {
+      Quoted += C;
+    }
+  }
+  return Quoted + "\"";
+}
+
+std::string formatNumber(double Value) {
+  char Buffer[32];
+  std::snprintf(Buffer, sizeof Buffer, "%.6g", Value);
+  return Buffer;
+}
+
+/// Set once by startLogging, before other threads exist.
+log_level &leastLevel() {
+  static log_level Level = log_level::Info;
+  return Level;
+}
+
+} // namespace
+
+log_field::log_field(std::string_view Key, std::string_view Value)
+    : Key(Key), Text(quoteValue(Value)) {}
+log_field::log_field(std::string_view Key, const char *Value)
+    : log_field(Key, std::string_view(Value)) {}
+log_field::log_field(std::string_view Key, const std::string &Value)
+    : log_field(Key, std::string_view(Value)) {}
+log_field::log_field(std::string_view Key, std::int64_t Value)
+    : Key(Key), Text(std::to_string(Value)) {}
+log_field::log_field(std::string_view Key, std::uint64_t Value)
+    : Key(Key), Text(std::to_string(Value)) {}
+log_field::log_field(std::string_view Key, int Value)
+    : Key(Key), Text(std::to_string(Value)) {}
+log_field::log_field(std::string_view Key, unsigned Value)
+    : Key(Key), Text(std::to_string(Value)) {}
+log_field::log_field(std::string_view Key, double Value)
+    : Key(Key), Text(formatNumber(Value)) {}
+
+std::string formatEvent(std::string_view Event,
+                        std::initializer_list<log_field> Fields) {
+  std::string Line = "event=" + std::string(Event);
+  for (const log_field &Field : Fields) {
+    Line += ' ';
+    Line += Field.Key;
+    Line += '=';
+    Line += Field.Text;
+  }
+  return Line;
+}
+
+void startLogging(std::string_view Name, log_level Least) {
+  leastLevel() = Least;
+  el::Configurations Settings;
+  Settings.setToDefault();
+  Settings.setGlobally(el::ConfigurationType::ToFile, "false");
+  Settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  Settings.setGlobally(
+      el::ConfigurationType::Format,
+      "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level node=" +
+          quoteValue(Name) + " %msg");
+  el::Loggers::reconfigureAllLoggers(Settings);
+}
+
+void logEvent(log_level Level, std::string_view Event,
+              std::initializer_list<log_field> Fields) {
+  if (Level < leastLevel()) {
+    return;
+  }
+  std::string Line = formatEvent(Event, Fields);
+  switch (Level) {
+  case log_level::Debug:
+    LOG(DEBUG) << Line;
+    break;
+  case log_level::Info:
+    LOG(INFO) << Line;
+    break;
+  case log_level::Warning:
+    LOG(WARNING) << Line;
+    break;
+  case log_level::Error:
+    LOG(ERROR) << Line;
+    break;
+  }
+}
+
+} // namespace figplank::framework
--- /dev/null
+++ b/src/framework/settings.h
@@ -0,0 +1,82 @@
+/// \file
+/// Settings from flags and environment variables, checked as a whole.
+///
+/// `--some-name VALUE` may also be given as PREFIX_SOME_NAME; the flag wins.
+#pragma once
+
+#include "framework/findings.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace figplank::framework {
+
+/// One setting of a program.
+struct setting_spec {
+  std::string Name;
+  std::string Help;
+  /// Empty for none.
+  std::string Default;
+  bool Required = false;
+};
+
+/// A value as given and where it was given.
+struct given_setting {
+  std::string Value;
+  std::string Place;
+};
+
+/// The raw settings of a program, its positional arguments, and what is wrong
+/// with them so far.
+struct given_settings {
+  std::map<std::string, given_setting, std::less<>> Values;
+  std::vector<std::string> Positional;
+  bool Help = false;
+  bool Version = false;
+  bool Check = false;
+  findings Findings;
+};
+
+/// Reads \p Arguments (without the program's name) and the environment
+/// variables that begin with \p Prefix.
+given_settings readSettings(const std::vector<std::string> &Arguments,
+                            std::string_view Prefix,
+                            const std::vector<setting_spec> &Specs);
+
+/// The text of `--help`.
+std::string formatHelp(std::string_view Usage,
+                       const std::vector<setting_spec> &Specs);
+
+/// The text given for \p Name, or its default.
+std::string textSetting(const given_settings &Given, std::string_view Name);
+
+/// A whole number in [\p Least, \p Most], with a finding otherwise.
+std::int64_t wholeSetting(given_settings &Given, std::string_view Name,
+                          std::int64_t Least, std::int64_t Most);
+
+/// `IP:PORT`, with a finding otherwise. An empty value passes if allowed.
+std::string addressSetting(given_settings &Given, std::string_view Name,
+                           bool AllowEmpty);
+
+/// An IPv4 number or nothing.
+std::string ipSetting(given_settings &Given, std::string_view Name);
+
+/// A comma-separated list of `IP:PORT`.
+std::vector<std::string> addressListSetting(given_settings &Given,
+                                            std::string_view Name);
+
+/// One of \p Allowed, with a finding otherwise.
+std::string choiceSetting(given_settings &Given, std::string_view Name,
+                          const std::vector<std::string> &Allowed);
+
+/// Whether \p Text is an IPv4 address or a bracketed IPv6 one, a colon and a
+/// port from 1 to 65535.
+bool isAddress(std::string_view Text);
+
+/// Exit code of programs whose settings are wrong.
+inline constexpr int BadSettingsExitCode = 2;
+
+} // namespace figplank::framework
--- /dev/null
+++ b/src/node/admin.h
@@ -0,0 +1,39 @@
+/// \file
+/// The operators' HTTP port: /metrics, /status and /healthz.
+#pragma once
+
+#include "node/dissemination.h"
+#include "node/mailbox.h"
+#include "node/upstream.h"
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace httplib {
+class Server;
+}
+
+namespace figplank::node {
+
+/// The node's view as JSON: condition, revision, refused entries, limits,
+/// upstreams and suspects.
+std::string formatStatus(const node_runtime &Node,
+                         const upstream_service &Upstream,
+                         const disseminator &Dissemination);
+
+class admin_server {
+public:
+  /// \p Status is called on the event loop.
+  admin_server(const node_runtime &Node, mailbox &Mailbox,
+               std::function<std::string()> Status);
+  ~admin_server();
+  admin_server(const admin_server &) = delete;
+  admin_server &operator=(const admin_server &) = delete;
+
+private:
+  std::unique_ptr<httplib::Server> Server;
+  std::thread Thread;
+};
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/backend.cpp
@@ -0,0 +1,150 @@
+#include "node/backend.h"
+
+#include <charconv>
+
+namespace figplank::node {
+namespace {
+
+using framework::readClocks;
+
+constexpr framework::milliseconds ConnectTimeout{500};
+/// Shorter than the usual keep-alive of servers, so that a connection is not
+/// taken from the pool just as the server closes it.
+constexpr framework::milliseconds IdleLimit{1'000};
+constexpr std::size_t MaxAnswerBytes = std::size_t{8} << 20U;
+constexpr unsigned ServiceUnavailable = 503;
+
+backend_headers makeHeaders() {
+  kj::HttpHeaderTable::Builder Builder;
+  backend_headers Headers;
+  Headers.Host = kj::HttpHeaderId::HOST;
+  Headers.ContentType = kj::HttpHeaderId::CONTENT_TYPE;
+  Headers.Context = Builder.add("Figplank-Context");
+  Headers.IdempotencyKey = Builder.add("Idempotency-Key");
+  Headers.Organisation = Builder.add("Figplank-Organisation");
+  Headers.Rank = Builder.add("Figplank-Rank");
+  Headers.DeadlineMs = Builder.add("Figplank-Deadline-Ms");
+  Headers.Executed = Builder.add("Figplank-Executed");
+  Headers.RetryAfterMs = Builder.add("Figplank-Retry-After-Ms");
+  Headers.Draining = Builder.add("Figplank-Draining");
+  Headers.Table = Builder.build();
+  return Headers;
+}
+
+std::string headerText(const kj::HttpHeaders &Headers, kj::HttpHeaderId Id) {
+  KJ_IF_MAYBE (Text, Headers.get(Id)) {
+    return {Text->cStr(), Text->size()};
+  }
+  return {};
+}
+
+framework::milliseconds readMilliseconds(const std::string &Text) {
+  std::uint32_t Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return framework::milliseconds(Number);
+}
+
+} // namespace
+
+backend_client::backend_client(node_runtime &Node)
+    : Node(Node), Headers(makeHeaders()) {}
+
+task<kj::Own<kj::AsyncIoStream>> backend_client::open() {
+  kj::Own<kj::NetworkAddress> Address =
+      co_await Node.Network.parseAddress(Node.Settings.BackendAddress.c_str());
+  kj::Promise<kj::Own<kj::AsyncIoStream>> Connecting = Address->connect();
+  kj::Promise<kj::Own<kj::AsyncIoStream>> Timed =
+      Node.Timer.timeoutAfter(toDuration(ConnectTimeout), kj::mv(Connecting));
+  kj::Own<kj::AsyncIoStream> Stream = co_await kj::mv(Timed);
+  co_return kj::mv(Stream);
+}
+
+task<backend_client::connection> backend_client::acquire() {
+  framework::monotonic_time Now = readClocks().Monotonic;
+  while (!Idle.empty() && Now - Idle.front().IdleSince > IdleLimit) {
+    Idle.pop_front();
+  }
+  if (!Idle.empty()) {
+    connection Newest = kj::mv(Idle.back());
+    Idle.pop_back();
+    co_return kj::mv(Newest);
+  }
+  connection Fresh;
+  Fresh.Stream = co_await open();
+  Fresh.Client = kj::newHttpClient(*Headers.Table, *Fresh.Stream);
+  co_return kj::mv(Fresh);
+}
+
+task<bool> backend_client::probe() {
+  bool Reached = false;
+  try {
+    kj::Own<kj::AsyncIoStream> Stream = co_await open();
+    Reached = true;
+  } catch (const kj::Exception &) {
+    Reached = false;
+  }
+  co_return Reached;
+}
+
+task<backend_answer> backend_client::send(backend_request Request) {
+  connection Connection;
+  backend_answer Answer;
+  try {
+    Connection = co_await acquire();
+  } catch (const kj::Exception &) {
+    Answer.Result = backend_result::Unreachable;
+  }
+  if (Answer.Result == backend_result::Unreachable) {
+    co_return kj::mv(Answer);
+  }
+  try {
+    Answer = co_await exchange(Connection, Request);
+    Connection.IdleSince = readClocks().Monotonic;
+    if (Answer.KeepAlive) {
+      Idle.push_back(kj::mv(Connection));
+    }
+  } catch (const kj::Exception &) {
+    Answer.Result = backend_result::Lost;
+  }
+  co_return kj::mv(Answer);
+}
+
+task<backend_answer> backend_client::exchange(connection &Connection,
+                                              const backend_request &Request) {
+  kj::HttpHeaders Sent(*Headers.Table);
+  Sent.set(Headers.Host, kj::heapString(Node.Settings.BackendAddress.c_str()));
+  if (!Request.ContentType.empty()) {
+    Sent.set(Headers.ContentType, kj::heapString(Request.ContentType.c_str()));
+  }
+  Sent.set(Headers.Context, kj::heapString(Request.Context.c_str()));
+  if (!Request.IdempotencyKey.empty()) {
+    Sent.set(Headers.IdempotencyKey,
+             kj::heapString(Request.IdempotencyKey.c_str()));
+  }
+  Sent.set(Headers.Organisation, kj::heapString(Request.Organisation.c_str()));
+  Sent.set(Headers.Rank, kj::str(static_cast<unsigned>(Request.Rank)));
+  Sent.set(Headers.DeadlineMs, kj::str(Request.RemainingMs));
+  kj::HttpClient::Request Started =
+      Connection.Client->request(kj::HttpMethod::POST, Request.Path.c_str(),
+                                 Sent, std::uint64_t{Request.Body.size()});
+  co_await Started.body->write(Request.Body.data(), Request.Body.size());
+  Started.body = nullptr;
+  kj::HttpClient::Response Response = co_await kj::mv(Started.response);
+  backend_answer Answer;
+  Answer.Status = static_cast<std::uint16_t>(Response.statusCode);
+  Answer.ContentType = headerText(*Response.headers, Headers.ContentType);
+  Answer.Draining = headerText(*Response.headers, Headers.Draining) == "1";
+  Answer.KeepAlive =
+      headerText(*Response.headers, kj::HttpHeaderId::CONNECTION) != "close";
+  Answer.RetryAfter =
+      readMilliseconds(headerText(*Response.headers, Headers.RetryAfterMs));
+  bool NotExecuted = headerText(*Response.headers, Headers.Executed) == "no";
+  kj::Array<kj::byte> Body =
+      co_await Response.body->readAllBytes(MaxAnswerBytes);
+  Answer.Body.assign(reinterpret_cast<const char *>(Body.begin()), Body.size());
+  bool Shed = Response.statusCode == ServiceUnavailable && NotExecuted;
+  Answer.Result = Shed ? backend_result::Shed : backend_result::Answered;
+  co_return kj::mv(Answer);
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/backend.h
@@ -0,0 +1,99 @@
+/// \file
+/// Requests to the backend server beside this node.
+///
+/// A connection carries one request at a time and returns to the pool only
+/// after its answer was read to the end, so that no answer can be taken for
+/// another request's.
+#pragma once
+
+#include "node/runtime.h"
+
+#include <kj/compat/http.h>
+
+#include <deque>
+#include <string>
+
+namespace figplank::node {
+
+/// What the backend server is told.
+struct backend_request {
+  std::string Path;
+  std::string ContentType;
+  std::string Body;
+  /// Token that the backend server repeats on its own calls.
+  std::string Context;
+  /// Text form of the id; may be empty.
+  std::string IdempotencyKey;
+  std::string Organisation;
+  std::uint8_t Rank = 0;
+  std::uint32_t RemainingMs = 0;
+};
+
+enum class backend_result : std::uint8_t {
+  /// A complete answer.
+  Answered,
+  /// It says that the request was never started.
+  Shed,
+  /// No connection could be made, so nothing was sent.
+  Unreachable,
+  /// The connection ended before the answer did.
+  Lost,
+};
+
+struct backend_answer {
+  backend_result Result = backend_result::Lost;
+  std::uint16_t Status = 0;
+  std::string ContentType;
+  std::string Body;
+  framework::milliseconds RetryAfter{0};
+  /// The backend server announced that it leaves.
+  bool Draining = false;
+  /// The server keeps the connection open for another request.
+  bool KeepAlive = true;
+};
+
+/// The header ids of one table, shared by all connections.
+struct backend_headers {
+  kj::Own<kj::HttpHeaderTable> Table;
+  kj::HttpHeaderId Host;
+  kj::HttpHeaderId ContentType;
+  kj::HttpHeaderId Context;
+  kj::HttpHeaderId IdempotencyKey;
+  kj::HttpHeaderId Organisation;
+  kj::HttpHeaderId Rank;
+  kj::HttpHeaderId DeadlineMs;
+  kj::HttpHeaderId Executed;
+  kj::HttpHeaderId RetryAfterMs;
+  kj::HttpHeaderId Draining;
+};
+
+class backend_client {
+public:
+  explicit backend_client(node_runtime &Node);
+  KJ_DISALLOW_COPY(backend_client);
+
+  /// Sends \p Request. Dropping the promise closes the connection, which
+  /// tells the backend server to stop.
+  task<backend_answer> send(backend_request Request);
+
+  /// Whether a connection can be made now.
+  task<bool> probe();
+
+private:
+  struct connection {
+    kj::Own<kj::AsyncIoStream> Stream;
+    kj::Own<kj::HttpClient> Client;
+    framework::monotonic_time IdleSince;
+  };
+
+  task<kj::Own<kj::AsyncIoStream>> open();
+  task<connection> acquire();
+  task<backend_answer> exchange(connection &Connection,
+                                const backend_request &Request);
+
+  node_runtime &Node;
+  backend_headers Headers;
+  std::deque<connection> Idle;
+};
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/callerhttp.cpp
@@ -0,0 +1,310 @@
+#include "node/callerhttp.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace figplank::node {
+namespace {
+
+using framework::milliseconds;
+using framework::outcome;
+using framework::readClocks;
+using framework::refusal_reason;
+
+constexpr std::string_view WorkPrefix = "/work/";
+constexpr std::size_t MaxTokenLength = 100;
+constexpr unsigned GatewayTimeout = 504;
+
+std::string headerText(const kj::HttpHeaders &Headers, kj::HttpHeaderId Id) {
+  KJ_IF_MAYBE (Text, Headers.get(Id)) {
+    return {Text->cStr(), Text->size()};
+  }
+  return {};
+}
+
+/// A positive number, \p Default if absent, nothing if malformed.
+std::optional<std::uint32_t> headerNumber(const kj::HttpHeaders &Headers,
+                                          kj::HttpHeaderId Id,
+                                          std::uint32_t Default) {
+  std::string Text = headerText(Headers, Id);
+  if (Text.empty()) {
+    return Default;
+  }
+  std::uint32_t Number = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  bool Whole =
+      Error == std::errc() && End == Text.data() + Text.size() && Number > 0;
+  return Whole ? std::optional<std::uint32_t>(Number) : std::nullopt;
+}
+
+/// A refusal that this node decided before anything was sent.
+work_answer refuseCall(refusal_reason Reason) {
+  return refuseWork(outcome::NotRun, Reason);
+}
+
+unsigned statusOf(const work_answer &Answer) {
+  if (Answer.Outcome == outcome::Completed) {
+    return Answer.Status;
+  }
+  if (Answer.Outcome == outcome::Unknown && Answer.Status != 0) {
+    return Answer.Status;
+  }
+  unsigned Status = framework::refusalRow(Answer.Reason).Status;
+  // NOTE 503 invites generic clients to send again at once, which an unknown
+  // outcome must not.
+  constexpr unsigned Unavailable = 503;
+  return Answer.Outcome == outcome::Unknown && Status == Unavailable
+             ? GatewayTimeout
+             : Status;
+}
+
+std::string refusalBody(const work_answer &Answer, const std::string &Id) {
+  nlohmann::json Body;
+  Body["outcome"] = std::string(framework::nameOf(Answer.Outcome));
+  Body["reason"] = std::string(framework::nameOf(Answer.Reason));
+  Body["retry_after_ms"] = Answer.RetryAfter.count();
+  if (!Id.empty()) {
+    Body["id"] = Id;
+  }
+  return Body.dump() + "\n";
+}
+
+} // namespace
+
+caller_headers makeCallerHeaders() {
+  kj::HttpHeaderTable::Builder Builder;
+  caller_headers Headers;
+  Headers.Organisation = Builder.add("Figplank-Organisation");
+  Headers.IdempotencyKey = Builder.add("Idempotency-Key");
+  Headers.DeadlineMs = Builder.add("Figplank-Deadline-Ms");
+  Headers.Attempt = Builder.add("Figplank-Attempt");
+  Headers.Context = Builder.add("Figplank-Context");
+  Headers.Call = Builder.add("Figplank-Call");
+  Headers.Outcome = Builder.add("Figplank-Outcome");
+  Headers.Reason = Builder.add("Figplank-Reason");
+  Headers.RetryAfter = Builder.add("Retry-After");
+  Headers.RetryAfterMs = Builder.add("Figplank-Retry-After-Ms");
+  Headers.Table = Builder.build();
+  return Headers;
+}
+
+caller_service::caller_service(node_runtime &Node, dispatcher &Dispatcher,
+                               context_table &Contexts)
+    : Node(Node), Dispatcher(Dispatcher), Contexts(Contexts),
+      Headers(makeCallerHeaders()) {}
+
+caller_service::parsed_call
+caller_service::parse(kj::HttpMethod Method, kj::StringPtr Url,
+                      const kj::HttpHeaders &Received) {
+  parsed_call Call;
+  std::string Path(Url.cStr(), Url.size());
+  if (Method != kj::HttpMethod::POST || !Path.starts_with(WorkPrefix)) {
+    Call.Reason = refusal_reason::MalformedRequest;
+    return Call;
+  }
+  if (!Node.Condition.Ready) {
+    Call.Reason = refusal_reason::NoConfiguration;
+    return Call;
+  }
+  std::string Template = Path.substr(WorkPrefix.size());
+  std::string Token = headerText(Received, Headers.Context);
+  if (Token.empty()) {
+    parseRoot(Call, Template, Received);
+  } else {
+    parseChild(Call, Template, Token, Received);
+  }
+  Call.Request.ContentType =
+      headerText(Received, kj::HttpHeaderId::CONTENT_TYPE);
+  return Call;
+}
+
+void caller_service::parseRoot(parsed_call &Call, const std::string &Template,
+                               const kj::HttpHeaders &Received) {
+  const configuration::catalog &Catalog = Node.Store.Catalog;
+  work_request &Request = Call.Request;
+  Request.Template = Template;
+  Request.Organisation = headerText(Received, Headers.Organisation);
+  if (Catalog.Templates.count(Template) == 0) {
+    Call.Reason = refusal_reason::UnknownTemplate;
+    return;
+  }
+  auto Work =
+      configuration::resolveWork(Catalog, Request.Organisation, Template);
+  if (!Work) {
+    Call.Reason = refusal_reason::UnknownOrganisation;
+    return;
+  }
+  auto Attempt = headerNumber(Received, Headers.Attempt, 1);
+  auto Limit = static_cast<std::uint32_t>(Work->Deadline.count());
+  auto DeadlineMs = headerNumber(Received, Headers.DeadlineMs, Limit);
+  if (!Attempt || !DeadlineMs) {
+    Call.Reason = refusal_reason::MalformedRequest;
+    return;
+  }
+  framework::time_now Now = readClocks();
+  std::string Key = headerText(Received, Headers.IdempotencyKey);
+  Request.Id = execution::parseRequestId(Key);
+  if (!Work->Idempotent && !Request.Id) {
+    Call.Reason =
+        Key.empty() ? refusal_reason::MissingId : refusal_reason::InvalidId;
+    return;
+  }
+  if (!Request.Id) {
+    // NOTE Calls below derive their ids from this one, so that trying an
+    // idempotent request again repeats no non-idempotent call inside it.
+    Request.Id =
+        execution::makeRequestId(Now.Wall, Node.Random(), Node.Random());
+  }
+  Request.RootId = execution::formatRequestId(*Request.Id);
+  Request.Service = Work->Service;
+  Request.Path = Work->Path;
+  Request.Rank = Work->Rank;
+  Request.Idempotent = Work->Idempotent;
+  Request.CallerAttempt = *Attempt;
+  Request.ExtraTries =
+      retry::startBudget(Work->ExtraTries, *Attempt).ExtraTries;
+  Request.Deadline = Now.Monotonic + milliseconds(std::min(Limit, *DeadlineMs));
+  // NOTE The draw is this node's and not derived from the caller's id, so that
+  // nobody gains by choosing ids.
+  Request.Draw = Node.draw();
+  Call.MaxBodyBytes = Work->MaxBodyBytes;
+}
+
+void caller_service::parseChild(parsed_call &Call, const std::string &Template,
+                                const std::string &Token,
+                                const kj::HttpHeaders &Received) {
+  auto Parent =
+      Token.size() > MaxTokenLength ? Contexts.end() : Contexts.find(Token);
+  if (Parent == Contexts.end()) {
+    Call.Reason = refusal_reason::UnknownContext;
+    return;
+  }
+  auto Found = Node.Store.Catalog.Templates.find(Template);
+  if (Found == Node.Store.Catalog.Templates.end()) {
+    Call.Reason = refusal_reason::UnknownTemplate;
+    return;
+  }
+  Call.Parent = Parent->second;
+  const work_request &Above = Call.Parent->Request;
+  auto Chosen = configuration::resolveWork(Node.Store.Catalog,
+                                           Above.Organisation, Template);
+  configuration::effective_work Work =
+      Chosen.value_or(configuration::defaultWork(Found->second));
+  std::string Name = headerText(Received, Headers.Call);
+  if (Name.empty()) {
+    Name = Template + "#" + std::to_string(++Call.Parent->CallCounts[Template]);
+  }
+  framework::time_now Now = readClocks();
+  work_request &Request = Call.Request;
+  Request.Template = Template;
+  Request.Id = execution::deriveChildId(*Above.Id, Name);
+  Request.RootId = Above.RootId;
+  Request.Service = Work.Service;
+  Request.Path = Work.Path;
+  Request.Organisation = Above.Organisation;
+  Request.Rank = Above.Rank;
+  Request.Depth = static_cast<std::uint8_t>(std::min(Above.Depth + 1, 255));
+  Request.Idempotent = Work.Idempotent;
+  Request.CallerAttempt = Above.CallerAttempt;
+  Request.Deadline = std::min(Above.Deadline, Now.Monotonic + Work.Deadline);
+  Request.Draw = Above.Draw;
+  Request.Weight = Above.Weight;
+  Call.MaxBodyBytes = Work.MaxBodyBytes;
+}
+
+kj::Promise<void> caller_service::request(kj::HttpMethod Method,
+                                          kj::StringPtr Url,
+                                          const kj::HttpHeaders &Received,
+                                          kj::AsyncInputStream &Body,
+                                          Response &Reply) {
+  // Url and headers are gone once the body is read.
+  return serve(parse(Method, Url, Received), Body, Reply);
+}
+
+task<void> caller_service::serve(parsed_call Call, kj::AsyncInputStream &Body,
+                                 Response &Reply) {
+  framework::monotonic_time Start = readClocks().Monotonic;
+  work_answer Answer;
+  if (Call.Reason == refusal_reason::None) {
+    kj::Maybe<std::uint64_t> Length = Body.tryGetLength();
+    KJ_IF_MAYBE (Bytes, Length) {
+      if (*Bytes > Call.MaxBodyBytes) {
+        Call.Reason = refusal_reason::BodyTooLarge;
+      }
+    }
+  }
+  if (Call.Reason == refusal_reason::None) {
+    try {
+      kj::Array<kj::byte> Bytes = co_await Body.readAllBytes(Call.MaxBodyBytes);
+      Call.Request.Body.assign(reinterpret_cast<const char *>(Bytes.begin()),
+                               Bytes.size());
+    } catch (const kj::Exception &Exception) {
+      if (Exception.getType() == kj::Exception::Type::DISCONNECTED) {
+        throw;
+      }
+      Call.Reason = refusal_reason::BodyTooLarge;
+    }
+  }
+  const std::uint8_t Rank = Call.Request.Rank;
+  const std::string Id =
+      Call.Request.Id ? execution::formatRequestId(*Call.Request.Id) : "";
+  if (Call.Reason != refusal_reason::None) {
+    Answer = refuseCall(Call.Reason);
+  } else if (Call.Parent) {
+    Answer =
+        co_await Dispatcher.dispatchChild(kj::mv(Call.Request), Call.Parent);
+  } else {
+    Answer = co_await Dispatcher.dispatchRoot(kj::mv(Call.Request));
+  }
+  countRefusal(Node.Metrics.AnsweredReasons, Answer.Reason);
+  Node.Metrics.AnsweredOutcomes[static_cast<std::size_t>(Answer.Outcome)]
+      ->Increment();
+  auto Taken = readClocks().Monotonic - Start;
+  Node.Metrics.Latency[Rank]->Observe(
+      std::chrono::duration<double>(Taken).count());
+  co_await reply(Reply, Answer, Id);
+}
+
+task<void> caller_service::reply(Response &Reply, const work_answer &Answer,
+                                 std::string Id) {
+  kj::HttpHeaders Sent(*Headers.Table);
+  Sent.set(Headers.Outcome,
+           kj::heapString(framework::nameOf(Answer.Outcome).data()));
+  const bool HasResult = Answer.Status != 0;
+  std::string Body = HasResult ? Answer.Body : refusalBody(Answer, Id);
+  if (Answer.Reason != refusal_reason::None) {
+    Sent.set(Headers.Reason,
+             kj::heapString(framework::nameOf(Answer.Reason).data()));
+  }
+  if (Answer.RetryAfter.count() > 0) {
+    auto Seconds = (Answer.RetryAfter.count() + 999) / 1000;
+    Sent.set(Headers.RetryAfter, kj::str(Seconds));
+    Sent.set(Headers.RetryAfterMs, kj::str(Answer.RetryAfter.count()));
+  }
+  std::string Type = HasResult ? Answer.ContentType : "application/json";
+  if (!Type.empty()) {
+    Sent.set(kj::HttpHeaderId::CONTENT_TYPE, kj::heapString(Type.c_str()));
+  }
+  unsigned Status = statusOf(Answer);
+  auto Stream = Reply.send(Status, Status < 300 ? "OK" : "Refused", Sent,
+                           std::uint64_t{Body.size()});
+  if (!Body.empty()) {
+    co_await Stream->write(Body.data(), Body.size());
+  }
+}
+
+kj::Promise<void>
+caller_service::handleClientProtocolError(kj::HttpHeaders::ProtocolError Error,
+                                          Response &Reply) {
+  Node.Metrics.MalformedMessages->Increment();
+  framework::logEvent(
+      framework::log_level::Info, "malformed_http",
+      {{"status", Error.statusCode}, {"error", Error.description.cStr()}});
+  work_answer Answer = refuseCall(refusal_reason::MalformedRequest);
+  Answer.Status = 0;
+  return reply(Reply, Answer, "");
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/callerhttp.h
@@ -0,0 +1,78 @@
+/// \file
+/// The HTTP port for callers and for the backend server's own calls.
+/// docs/CALLERS.md describes it to callers.
+///
+/// NOTE This port is served by kj-http on the node's event loop and not by
+/// cpp-httplib: cpp-httplib 0.11 cannot tell a handler that its caller has
+/// gone and holds one thread for each open connection. docs/DESIGN.md gives
+/// the measurements.
+#pragma once
+
+#include "node/dispatch.h"
+
+#include <kj/compat/http.h>
+
+#include <memory>
+
+namespace figplank::node {
+
+/// The header ids of requests and answers.
+struct caller_headers {
+  kj::Own<kj::HttpHeaderTable> Table;
+  kj::HttpHeaderId Organisation;
+  kj::HttpHeaderId IdempotencyKey;
+  kj::HttpHeaderId DeadlineMs;
+  kj::HttpHeaderId Attempt;
+  kj::HttpHeaderId Context;
+  kj::HttpHeaderId Call;
+  kj::HttpHeaderId Outcome;
+  kj::HttpHeaderId Reason;
+  kj::HttpHeaderId RetryAfter;
+  kj::HttpHeaderId RetryAfterMs;
+};
+
+caller_headers makeCallerHeaders();
+
+class caller_service final : public kj::HttpService,
+                             public kj::HttpServerErrorHandler {
+public:
+  caller_service(node_runtime &Node, dispatcher &Dispatcher,
+                 context_table &Contexts);
+
+  const kj::HttpHeaderTable &headerTable() const { return *Headers.Table; }
+
+  kj::Promise<void> request(kj::HttpMethod Method, kj::StringPtr Url,
+                            const kj::HttpHeaders &Received,
+                            kj::AsyncInputStream &Body,
+                            Response &Reply) override;
+
+  kj::Promise<void>
+  handleClientProtocolError(kj::HttpHeaders::ProtocolError Error,
+                            Response &Reply) override;
+
+private:
+  /// What a request asks for, or why it is refused.
+  struct parsed_call {
+    framework::refusal_reason Reason = framework::refusal_reason::None;
+    work_request Request;
+    std::uint32_t MaxBodyBytes = 0;
+    std::shared_ptr<call_context> Parent;
+  };
+
+  task<void> serve(parsed_call Call, kj::AsyncInputStream &Body,
+                   Response &Reply);
+  parsed_call parse(kj::HttpMethod Method, kj::StringPtr Url,
+                    const kj::HttpHeaders &Received);
+  void parseRoot(parsed_call &Call, const std::string &Template,
+                 const kj::HttpHeaders &Received);
+  void parseChild(parsed_call &Call, const std::string &Template,
+                  const std::string &Token, const kj::HttpHeaders &Received);
+  task<void> reply(Response &Reply, const work_answer &Answer, std::string Id);
+
+  node_runtime &Node;
+  dispatcher &Dispatcher;
+  context_table &Contexts;
+  caller_headers Headers;
+};
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/dispatch.cpp
@@ -0,0 +1,301 @@
+#include "node/dispatch.h"
+
+#include <algorithm>
+
+namespace figplank::node {
+namespace {
+
+using framework::milliseconds;
+using framework::monotonic_time;
+using framework::outcome;
+using framework::readClocks;
+using framework::refusal_reason;
+using retry::retry_reason;
+
+retry_reason retryReasonOf(refusal_reason Reason) {
+  switch (Reason) {
+  case refusal_reason::BackendShed:
+    return retry_reason::BackendShed;
+  case refusal_reason::BackendUnreachable:
+    return retry_reason::BackendUnreachable;
+  case refusal_reason::BackendFailed:
+    return retry_reason::BackendFailed;
+  case refusal_reason::ConnectionLost:
+    return retry_reason::ConnectionLost;
+  case refusal_reason::HomeMoved:
+    return retry_reason::HomeMoved;
+  default:
+    return retry_reason::UpstreamRefused;
+  }
+}
+
+} // namespace
+
+dispatcher::dispatcher(node_runtime &Node, peer_pool &Peers,
+                       upstream_service &Own)
+    : Node(Node), Peers(Peers), Own(Own) {}
+
+retry::retry_allowance &dispatcher::allowanceOf(const std::string &Service) {
+  return Node.Allowances[Service];
+}
+
+task<work_answer> dispatcher::dispatchRoot(work_request Request) {
+  if (!Node.Condition.Ready) {
+    co_return refuseWork(Request.Idempotent ? outcome::NotRun
+                                            : outcome::Unknown,
+                         refusal_reason::NoConfiguration);
+  }
+  bool Coordinated = Node.Settings.Admission == admission_mode::Coordinated;
+  if (Coordinated) {
+    double Share =
+        admission::chainShareOf(Node.ChainShares, Request.Template,
+                                Request.Organisation, readClocks().Monotonic);
+    Request.Weight = 1.0 / Share;
+    // NOTE Only its home may say of a non-idempotent id that it did not run.
+    if (Request.Idempotent && !admission::isAdmitted(Request.Draw, Share, 0)) {
+      work_answer Refused =
+          refuseWork(outcome::NotRun, refusal_reason::Overload);
+      Refused.RetryAfter =
+          milliseconds(200 + static_cast<std::int64_t>(800 * Node.draw()));
+      co_return kj::mv(Refused);
+    }
+  }
+  work_answer Answer = co_await dispatch(kj::mv(Request));
+  co_return kj::mv(Answer);
+}
+
+task<work_answer>
+dispatcher::dispatchChild(work_request Request,
+                          std::shared_ptr<call_context> Parent) {
+  retry::tree_budget Share = retry::takeShare(Parent->Budget);
+  Request.ExtraTries = Share.ExtraTries;
+  work_answer Answer = co_await dispatch(kj::mv(Request));
+  std::uint8_t Unused = std::min(Answer.UnusedTries, Share.ExtraTries);
+  retry::giveBack(Parent->Budget, {Unused});
+  Parent->ChildShare = std::min(Parent->ChildShare, Answer.Share);
+  Parent->ChildFailed |= Answer.Outcome != outcome::Completed;
+  co_return kj::mv(Answer);
+}
+
+task<work_answer> dispatcher::dispatch(work_request Request) {
+  const std::string Template = Request.Template;
+  const std::string Organisation = Request.Organisation;
+  const bool Idempotent = Request.Idempotent;
+  const monotonic_time Deadline = Request.Deadline;
+  Node.Metrics.FirstTries->Increment();
+  retry::countFirstTry(allowanceOf(Request.Service));
+  work_answer Answer;
+  if (Idempotent) {
+    Answer = co_await dispatchToAny(kj::mv(Request));
+  } else {
+    Answer = co_await dispatchToHome(kj::mv(Request));
+  }
+  monotonic_time Now = readClocks().Monotonic;
+  admission::recordShare(Node.ChainShares, Template, Organisation, Answer.Share,
+                         Now);
+  if (Idempotent && Now > Deadline) {
+    Node.Metrics.StaleAnswers->Increment();
+    Answer = refuseWork(outcome::Unknown, refusal_reason::DeadlinePassed);
+  }
+  co_return kj::mv(Answer);
+}
+
+task<work_answer> dispatcher::dispatchToAny(work_request Request) {
+  retry::tree_budget Budget{Request.ExtraTries};
+  std::vector<std::string> Tried;
+  bool MayHaveRun = false;
+  work_answer Answer = refuseWork(outcome::NotRun, refusal_reason::NoUpstream);
+  for (unsigned Retry = 1;; ++Retry) {
+    monotonic_time Now = readClocks().Monotonic;
+    auto Candidates = routing::listCandidates(
+        Node.Store.Catalog, Node.Upstreams, Request.Service, Now);
+    const routing::candidate *Chosen =
+        routing::chooseUpstream(Node.Upstreams, Candidates, Node.Settings.Zone,
+                                Tried, {Node.draw(), Node.draw()}, Now);
+    if (Chosen == nullptr) {
+      break;
+    }
+    std::string Address = Chosen->Address;
+    Tried.push_back(Address);
+    work_request Sent = Request;
+    Sent.ExtraTries = retry::takeShare(Budget).ExtraTries;
+    try_result Last = co_await tryUpstream(Address, kj::mv(Sent));
+    retry::giveBack(Budget, {Last.Answer.UnusedTries});
+    MayHaveRun |= Last.MayHaveRun;
+    Answer = kj::mv(Last.Answer);
+    if (!Answer.MayRetry ||
+        !takeRetry(Request, Budget, Last.Reason, readClocks().Monotonic)) {
+      break;
+    }
+    bool InTime = co_await backOff(Retry, milliseconds(0), Request.Deadline);
+    if (!InTime) {
+      break;
+    }
+  }
+  if (Answer.Outcome == outcome::NotRun && MayHaveRun) {
+    Answer.Outcome = outcome::Unknown;
+  }
+  Answer.UnusedTries = Budget.ExtraTries;
+  Answer.MayRetry = false;
+  co_return kj::mv(Answer);
+}
+
+task<work_answer> dispatcher::dispatchToHome(work_request Request) {
+  retry::tree_budget Budget{Request.ExtraTries};
+  work_answer Answer = refuseWork(outcome::Unknown, refusal_reason::NoUpstream);
+  for (unsigned Retry = 1;; ++Retry) {
+    auto Service = Node.Store.Catalog.Services.find(Request.Service);
+    if (Service == Node.Store.Catalog.Services.end()) {
+      break;
+    }
+    const configuration::roster_member *Home =
+        execution::homeOf(*Request.Id, Service->second.Roster);
+    std::string Address = Home->Address;
+    work_request Sent = Request;
+    Sent.ExtraTries = retry::takeShare(Budget).ExtraTries;
+    try_result Last = co_await tryUpstream(Address, kj::mv(Sent));
+    retry::giveBack(Budget, {Last.Answer.UnusedTries});
+    Answer = kj::mv(Last.Answer);
+    if (!Last.Answered) {
+      Answer = refuseWork(outcome::Unknown,
+                          Answer.Reason == refusal_reason::UpstreamUnreachable
+                              ? refusal_reason::HomeUnreachable
+                              : Answer.Reason);
+      Answer.MayRetry = true;
+    }
+    // NOTE The same id goes to the same home, which knows a copy when it sees
+    // one; a new try cannot run it twice.
+    if (!Answer.MayRetry ||
+        !takeRetry(Request, Budget, Last.Reason, readClocks().Monotonic)) {
+      break;
+    }
+    bool InTime = co_await backOff(Retry, Answer.RetryAfter, Request.Deadline);
+    if (!InTime) {
+      break;
+    }
+  }
+  Answer.UnusedTries = Budget.ExtraTries;
+  Answer.MayRetry = false;
+  co_return kj::mv(Answer);
+}
+
+bool dispatcher::takeRetry(const work_request &Request,
+                           retry::tree_budget &Budget, retry_reason Reason,
+                           monotonic_time Now) {
+  if (Now >= Request.Deadline) {
+    return false;
+  }
+  bool Granted =
+      retry::takeTry(Budget) && retry::takeRetry(allowanceOf(Request.Service));
+  if (Granted) {
+    countRetry(Node.Metrics, Reason);
+  }
+  return Granted;
+}
+
+task<bool> dispatcher::backOff(unsigned Retry, milliseconds RetryAfter,
+                               monotonic_time Deadline) {
+  milliseconds Delay =
+      retry::backoffDelay(Backoff, Retry, Node.draw(), RetryAfter);
+  if (readClocks().Monotonic + Delay >= Deadline) {
+    co_return false;
+  }
+  co_await Node.Timer.afterDelay(toDuration(Delay));
+  co_return true;
+}
+
+task<dispatcher::try_result> dispatcher::tryUpstream(std::string Address,
+                                                     work_request Request) {
+  try_result Result;
+  if (Address == Node.Settings.RpcAddress) {
+    const bool Idempotent = Request.Idempotent;
+    const monotonic_time Deadline = Request.Deadline;
+    try {
+      kj::Promise<work_answer> Running = Own.execute(kj::mv(Request));
+      kj::Promise<work_answer> Timed = Node.Timer.timeoutAfter(
+          toDuration(Deadline - readClocks().Monotonic), kj::mv(Running));
+      Result.Answer = co_await kj::mv(Timed);
+    } catch (const kj::Exception &) {
+      Result.Answer =
+          refuseWork(outcome::Unknown, refusal_reason::DeadlinePassed);
+    }
+    Result.Answered = true;
+    Result.MayHaveRun = Result.Answer.Outcome != outcome::NotRun && Idempotent;
+  } else {
+    Result = co_await tryRemote(Address, kj::mv(Request));
+  }
+  if (Result.Answered) {
+    Result.Reason = retryReasonOf(Result.Answer.Reason);
+  }
+  co_return kj::mv(Result);
+}
+
+task<dispatcher::try_result> dispatcher::tryRemote(std::string Address,
+                                                   work_request Request) {
+  try_result Result;
+  routing::recordStart(Node.Upstreams, Address);
+  bool Ended = false;
+  KJ_DEFER(if (!Ended) { routing::recordEnd(Node.Upstreams, Address); });
+  bool Proven = false;
+  connection_result Connected = co_await Peers.connect(Address);
+  call_failure Failure = Connected.Error.Failure;
+  KJ_IF_MAYBE (Connection, Connected.Got) {
+    Proven = (*Connection)->Proven;
+    auto Message = KJ_ASSERT_NONNULL((*Connection)->Client).runRequest();
+    std::uint64_t Attempt = NextAttempt++;
+    writeRequest(Message.initRequest(), Request, Attempt,
+                 readClocks().Monotonic);
+    auto Called = co_await Peers.call(kj::mv(*Connection), kj::mv(Message),
+                                      Request.Deadline);
+    Failure = Called.Error.Failure;
+    KJ_IF_MAYBE (Response, Called.Got) {
+      auto Answer = readAnswer(Response->getAnswer(), Attempt);
+      if (Answer) {
+        Result.Answer = kj::mv(*Answer);
+        Result.Answered = true;
+      } else {
+        Failure = call_failure::Lost;
+        Node.Metrics.MalformedMessages->Increment();
+      }
+    }
+  }
+  Ended = true;
+  monotonic_time Now = readClocks().Monotonic;
+  if (Result.Answered) {
+    Result.MayHaveRun = Result.Answer.Outcome != outcome::NotRun;
+    routing::recordAnswer(Node.Upstreams, Address, Result.Answer.Load, Now);
+    co_return kj::mv(Result);
+  }
+  // A connection that once carried answers may have gone silent alone; the
+  // upstream is avoided only if a fresh one fails as well.
+  if (Failure == call_failure::NotSent ||
+      (Failure == call_failure::Lost && !Proven)) {
+    routing::recordFailure(Node.Upstreams, Address, Now);
+  } else {
+    routing::recordEnd(Node.Upstreams, Address);
+  }
+  Result.MayHaveRun = Failure != call_failure::NotSent;
+  switch (Failure) {
+  case call_failure::NotSent:
+    Result.Answer =
+        refuseWork(outcome::NotRun, refusal_reason::UpstreamUnreachable);
+    Result.Reason = retry_reason::UpstreamUnreachable;
+    break;
+  case call_failure::Lost:
+    Result.Answer =
+        refuseWork(outcome::Unknown, refusal_reason::ConnectionLost);
+    Result.Reason = retry_reason::ConnectionLost;
+    break;
+  case call_failure::TimedOut:
+    Result.Answer =
+        refuseWork(outcome::Unknown, refusal_reason::DeadlinePassed);
+    break;
+  }
+  // Nothing below is known to have used its tries.
+  Result.Answer.UnusedTries =
+      Failure == call_failure::NotSent ? Request.ExtraTries : 0;
+  Result.Answer.MayRetry = Failure != call_failure::TimedOut;
+  co_return kj::mv(Result);
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/dissemination.cpp
@@ -0,0 +1,344 @@
+#include "node/dissemination.h"
+
+#include "framework/hashing.h"
+#include "node/wire.h"
+
+#include <algorithm>
+
+namespace figplank::node {
+namespace {
+
+using configuration::apply_result;
+using configuration::published_entry;
+using framework::log_level;
+using framework::logEvent;
+using framework::milliseconds;
+using framework::monotonic_time;
+using framework::readClocks;
+
+/// How often a node considers whether it is a reader.
+constexpr milliseconds ChoiceInterval{500};
+
+void logApplied(const published_entry &Entry, apply_result Result,
+                const configuration::store &Store) {
+  if (Result == apply_result::Accepted) {
+    logEvent(log_level::Debug, "entry_accepted",
+             {{"key", Entry.Key}, {"revision", Entry.Revision}});
+    return;
+  }
+  const framework::findings &Findings =
+      Store.Refused.find(Entry.Key)->second.Findings;
+  logEvent(log_level::Warning, "entry_refused",
+           {{"key", Entry.Key},
+            {"revision", Entry.Revision},
+            {"findings", framework::formatFindings(Findings)}});
+}
+
+void setBuckets(rpc::Node::ExchangeParams::Builder To,
+                const configuration::store &Store) {
+  auto Buckets = To.initBuckets(static_cast<unsigned>(Store.Digests.size()));
+  for (unsigned I = 0; I < Store.Digests.size(); ++I) {
+    Buckets.set(I, Store.Digests[I]);
+  }
+}
+
+} // namespace
+
+disseminator::disseminator(node_runtime &Node, peer_pool &Peers,
+                           mailbox &Mailbox)
+    : Node(Node), Peers(Peers), Started(readClocks().Monotonic),
+      LastNews(Started) {
+  if (!Node.Settings.PlatformAddress.empty()) {
+    Reader = std::make_unique<platform_reader>(
+        Node.Settings.PlatformAddress, Node.Settings.SourceIp,
+        [this, &Mailbox](platform_news News) {
+          Mailbox.post(
+              [this, News = std::move(News)]() { takePlatformNews(News); });
+        });
+  }
+  Node.Tasks.add(exchangeLoop());
+}
+
+std::vector<published_entry>
+disseminator::apply(const std::vector<published_entry> &Entries) {
+  std::vector<published_entry> News;
+  for (const published_entry &Entry : Entries) {
+    apply_result Result = configuration::applyEntry(Node.Store, Entry);
+    if (Result == apply_result::NotNewer) {
+      Node.Metrics.Dissemination.EntriesNotNewer->Increment();
+      continue;
+    }
+    bool Accepted = Result == apply_result::Accepted;
+    (Accepted ? Node.Metrics.Dissemination.EntriesAccepted
+              : Node.Metrics.Dissemination.EntriesRefused)
+        ->Increment();
+    logApplied(Entry, Result, Node.Store);
+    News.push_back(Entry);
+  }
+  bool Instances =
+      std::any_of(News.begin(), News.end(), [](const published_entry &Entry) {
+        return Entry.Key.starts_with("instances/");
+      });
+  if (Instances) {
+    listNodes();
+  }
+  if (!News.empty()) {
+    applySettings();
+    Node.Metrics.Revision->Set(
+        static_cast<double>(configuration::highestRevision(Node.Store)));
+  }
+  return News;
+}
+
+void disseminator::listNodes() {
+  ZoneNodes = membership::listNodes(Node.Store.Catalog, Node.Settings.Zone);
+  AllNodes = membership::listNodes(Node.Store.Catalog, "");
+}
+
+void disseminator::applySettings() {
+  auto Service = Node.Store.Catalog.Services.find(Node.Settings.Service);
+  if (Service == Node.Store.Catalog.Services.end()) {
+    return;
+  }
+  admission::setSlots(Node.Limit, Service->second.Slots);
+  Node.Queue.Settings.MaxQueued =
+      std::max<std::size_t>(16, 2 * Service->second.Slots);
+  bool Changed = Node.Home.Roster != Service->second.Roster ||
+                 Node.Home.Previous != Service->second.Previous;
+  if (Changed) {
+    execution::updateRoster(Node.Home, Service->second, readClocks().Wall);
+    logEvent(
+        log_level::Info, "roster_in_force",
+        {{"members", static_cast<std::uint64_t>(Service->second.Roster.size())},
+         {"previous",
+          static_cast<std::uint64_t>(Service->second.Previous.size())}});
+  }
+}
+
+void disseminator::receivePush(const std::vector<published_entry> &Entries,
+                               std::uint8_t Hops) {
+  std::vector<published_entry> News = apply(Entries);
+  LastNews = readClocks().Monotonic;
+  if (!News.empty() && Hops > 0) {
+    spread(News, static_cast<std::uint8_t>(Hops - 1));
+  }
+}
+
+void disseminator::spread(const std::vector<published_entry> &Entries,
+                          std::uint8_t Hops) {
+  for (const std::string &Peer :
+       choosePeers(Settings.NearFanout, Settings.FarFanout)) {
+    Node.Tasks.add(push(Peer, Entries, Hops));
+  }
+}
+
+task<void> disseminator::push(std::string Address,
+                              std::vector<published_entry> Entries,
+                              std::uint8_t Hops) {
+  connection_result Connected = co_await Peers.connect(Address);
+  KJ_IF_MAYBE (Connection, Connected.Got) {
+    auto Request = KJ_ASSERT_NONNULL((*Connection)->Client).pushRequest();
+    writeEntries(Request.initEntries(static_cast<unsigned>(Entries.size())),
+                 Entries);
+    Request.setHops(Hops);
+    Node.Metrics.Dissemination.Pushes->Increment();
+    // A push that is lost is mended by the next exchange.
+    (void)co_await Peers.call(kj::mv(*Connection), kj::mv(Request),
+                              readClocks().Monotonic + Settings.CallTimeout);
+  }
+}
+
+exchange_reply disseminator::answerExchange(const peer_digest &Theirs) {
+  exchange_reply Reply;
+  Reply.Highest = configuration::highestRevision(Node.Store);
+  Reply.Summary = configuration::summaryDigest(Node.Store);
+  Reply.Ready = Node.Condition.Ready && !Node.Condition.ViewStale;
+  if (Theirs.HasBuckets) {
+    Reply.Entries = configuration::entriesThatDiffer(Node.Store, Theirs.Buckets,
+                                                     Settings.MaxExchangeBytes);
+  } else if (Theirs.Highest < Reply.Highest) {
+    Reply.Entries = configuration::entriesNewerThan(Node.Store, Theirs.Highest,
+                                                    Settings.MaxExchangeBytes);
+  }
+  return Reply;
+}
+
+task<disseminator::exchange_step>
+disseminator::exchangeOnce(peer_connection &Connection, bool SendBuckets) {
+  auto Request = KJ_ASSERT_NONNULL(Connection.Client).exchangeRequest();
+  Request.setAddress(Node.Settings.RpcAddress.c_str());
+  Request.setHighest(configuration::highestRevision(Node.Store));
+  Request.setSummary(configuration::summaryDigest(Node.Store));
+  if (SendBuckets) {
+    setBuckets(Request, Node.Store);
+  }
+  Node.Metrics.Dissemination.Exchanges->Increment();
+  auto Called =
+      co_await Peers.call(kj::addRef(Connection), kj::mv(Request),
+                          readClocks().Monotonic + Settings.CallTimeout);
+  exchange_step Step;
+  KJ_IF_MAYBE (Response, Called.Got) {
+    std::vector<published_entry> News =
+        apply(readEntries(Response->getEntries()));
+    LastNews = readClocks().Monotonic;
+    std::uint64_t Highest = configuration::highestRevision(Node.Store);
+    Step.Answered = true;
+    Step.Ready = Response->getReady();
+    Step.More = Highest < Response->getHighest() && !News.empty();
+    bool Differs =
+        Highest == Response->getHighest() &&
+        configuration::summaryDigest(Node.Store) != Response->getSummary();
+    Step.CompareBuckets = Differs && !(SendBuckets && News.empty());
+  }
+  co_return Step;
+}
+
+task<bool> disseminator::exchangeWith(std::string Address) {
+  connection_result Connected = co_await Peers.connect(Address);
+  bool Answered = false;
+  KJ_IF_MAYBE (Connection, Connected.Got) {
+    exchange_step Step;
+    // A new node takes the whole copy in several steps from one peer.
+    constexpr unsigned MaxSteps = 1'000;
+    for (unsigned I = 0; I < MaxSteps; ++I) {
+      Step = co_await exchangeOnce(**Connection, Step.CompareBuckets);
+      Answered |= Step.Answered;
+      if (!Step.Answered || (!Step.More && !Step.CompareBuckets)) {
+        break;
+      }
+    }
+    if (Step.Answered) {
+      heard(Step.Ready);
+    }
+  }
+  co_return Answered;
+}
+
+void disseminator::heard(bool FromReady) {
+  bool HasEntries = !Node.Store.Newest.empty();
+  PeerHeard |= FromReady;
+  if (Node.Condition.ViewStale && FromReady && HasEntries) {
+    Node.Condition.ViewStale = false;
+    logEvent(log_level::Info, "view_refreshed", {{"from", "peer"}});
+  }
+}
+
+std::vector<std::string> disseminator::choosePeers(std::size_t Near,
+                                                   std::size_t Far) {
+  auto Draws = [this](std::size_t Count) {
+    std::vector<double> Numbers(Count);
+    std::generate(Numbers.begin(), Numbers.end(),
+                  [this]() { return Node.draw(); });
+    return Numbers;
+  };
+  const std::string &Self = Node.Settings.RpcAddress;
+  std::vector<std::string> Chosen =
+      membership::pickPeers(ZoneNodes, Self, Draws(Near));
+  for (const std::string &Peer :
+       membership::pickPeers(AllNodes, Self, Draws(Far))) {
+    if (std::find(Chosen.begin(), Chosen.end(), Peer) == Chosen.end()) {
+      Chosen.push_back(Peer);
+    }
+  }
+  return Chosen;
+}
+
+std::string disseminator::chooseExchangePeer() {
+  bool Far = Node.draw() < Settings.FarFraction;
+  std::vector<std::string> Chosen = Far ? choosePeers(0, 1) : choosePeers(1, 0);
+  bool UseSeed =
+      Chosen.empty() || !Node.Condition.Ready || Node.Condition.ViewStale;
+  if (UseSeed && !Node.Settings.Seeds.empty()) {
+    return Node.Settings.Seeds[SeedTurn++ % Node.Settings.Seeds.size()];
+  }
+  return Chosen.empty() ? std::string() : Chosen.front();
+}
+
+task<void> disseminator::exchangeLoop() {
+  while (true) {
+    std::string Peer = chooseExchangePeer();
+    if (!Peer.empty() && Peer != Node.Settings.RpcAddress) {
+      co_await exchangeWith(Peer);
+    }
+    bool Hurry = !Node.Condition.Ready || Node.Condition.ViewStale;
+    milliseconds Pause = Hurry ? milliseconds(100) : Settings.ExchangeInterval;
+    double Jitter = 0.75 + 0.5 * Node.draw();
+    auto Jittered =
+        std::chrono::duration_cast<framework::microseconds>(Pause * Jitter);
+    co_await Node.Timer.afterDelay(toDuration(Jittered));
+  }
+}
+
+void disseminator::takePlatformNews(const platform_news &News) {
+  Node.Metrics.Dissemination.PlatformCalls->Increment();
+  if (!News.Reached) {
+    Node.Metrics.Dissemination.PlatformFailures->Increment();
+    return;
+  }
+  PlatformHeard = true;
+  if (Node.Condition.ViewStale && AllNodes.size() <= 1) {
+    Node.Condition.ViewStale = false;
+    logEvent(log_level::Info, "view_refreshed", {{"from", "platform"}});
+  }
+  std::vector<published_entry> Fresh = apply(News.Entries);
+  if (!Fresh.empty()) {
+    LastNews = readClocks().Monotonic;
+    spread(Fresh, Settings.MaxHops);
+  }
+}
+
+void disseminator::updateReadiness(monotonic_time Now) {
+  if (Node.Condition.Ready || Node.Store.Newest.empty()) {
+    return;
+  }
+  // NOTE Both the platform and a peer are heard, since either may be stale;
+  // after the wait, whichever was heard must do.
+  bool HasPlatform = Reader != nullptr;
+  bool HasPeers = !Node.Settings.Seeds.empty() || AllNodes.size() > 1;
+  bool Both = (PlatformHeard || !HasPlatform) && (PeerHeard || !HasPeers);
+  bool Either = PlatformHeard || PeerHeard;
+  if (Both || (Either && Now - Started > Settings.StartupWait)) {
+    Node.Condition.Ready = true;
+    logEvent(log_level::Info, "ready",
+             {{"revision", configuration::highestRevision(Node.Store)},
+              {"platform", PlatformHeard ? "heard" : "not_heard"},
+              {"peer", PeerHeard ? "heard" : "not_heard"}});
+  }
+}
+
+void disseminator::tick(framework::time_now Now) {
+  updateReadiness(Now.Monotonic);
+  if (Reader == nullptr) {
+    return;
+  }
+  if (Now.Monotonic < NextChoice) {
+    return;
+  }
+  NextChoice = Now.Monotonic + ChoiceInterval;
+  bool Chosen = membership::isReader(
+      Node.ReaderSettings, Node.Settings.RpcAddress, ZoneNodes, Now.Wall);
+  // Without news from anyone a node reads for itself, each after a time of
+  // its own so that a cut zone does not call all at once.
+  double Spread =
+      framework::hashFraction(framework::hashText(Node.Settings.RpcAddress));
+  auto Patience = Node.ReaderSettings.SilenceLimit * (1.0 + Spread);
+  bool Silent = Now.Monotonic - LastNews > Patience;
+  bool Wanted = !Node.Condition.Ready || Chosen || Silent;
+  if (Wanted != Reading) {
+    Reading = Wanted;
+    std::uint64_t Highest = configuration::highestRevision(Node.Store);
+    Reader->setActive(
+        Reading, Highest > Settings.ReadBack ? Highest - Settings.ReadBack : 0);
+    logEvent(log_level::Info, "reader", {{"active", Reading ? "yes" : "no"}});
+  }
+}
+
+void disseminator::wake(framework::time_now Now) {
+  Node.Condition.ViewStale = true;
+  execution::resetHome(Node.Home, Now.Wall);
+  routing::forgetViews(Node.Upstreams);
+  Peers.dropAll();
+  LastNews = Now.Monotonic;
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/metrics.cpp
@@ -0,0 +1,136 @@
+#include "node/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace figplank::node {
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Registry;
+
+prometheus::Counter *addCounter(Registry &To, const std::string &Name,
+                                const std::string &Help) {
+  return &BuildCounter().Name(Name).Help(Help).Register(To).Add({});
+}
+
+prometheus::Gauge *addGauge(Registry &To, const std::string &Name,
+                            const std::string &Help) {
+  return &BuildGauge().Name(Name).Help(Help).Register(To).Add({});
+}
+
+refusal_counters addRefusals(Registry &To, const std::string &Name,
+                             const std::string &Help) {
+  auto &Family = BuildCounter().Name(Name).Help(Help).Register(To);
+  refusal_counters Counters{};
+  for (std::size_t I = 0; I < Counters.size(); ++I) {
+    Counters[I] =
+        &Family.Add({{"reason", std::string(framework::RefusalTable[I].Name)}});
+  }
+  return Counters;
+}
+
+void addRetries(node_metrics &Metrics) {
+  auto &Family = BuildCounter()
+                     .Name("figplank_retries_total")
+                     .Help("Tries beyond the first, by reason")
+                     .Register(*Metrics.Registry);
+  for (std::size_t I = 0; I < Metrics.Retries.size(); ++I) {
+    Metrics.Retries[I] =
+        &Family.Add({{"reason", std::string(retry::RetryReasonNames[I].Name)}});
+  }
+}
+
+void addOutcomes(node_metrics &Metrics) {
+  auto &Family = BuildCounter()
+                     .Name("figplank_answers_total")
+                     .Help("Answers to callers, by outcome")
+                     .Register(*Metrics.Registry);
+  for (std::size_t I = 0; I < Metrics.AnsweredOutcomes.size(); ++I) {
+    std::string Name(framework::OutcomeNames[I].Name);
+    Metrics.AnsweredOutcomes[I] = &Family.Add({{"outcome", Name}});
+  }
+}
+
+void addLatency(node_metrics &Metrics) {
+  const prometheus::Histogram::BucketBoundaries Seconds{
+      0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0};
+  auto &Family = BuildHistogram()
+                     .Name("figplank_answer_seconds")
+                     .Help("Time to answer a caller, by rank")
+                     .Register(*Metrics.Registry);
+  for (std::size_t Rank = 0; Rank < Metrics.Latency.size(); ++Rank) {
+    Metrics.Latency[Rank] =
+        &Family.Add({{"rank", std::to_string(Rank)}}, Seconds);
+  }
+}
+
+void addDissemination(node_metrics &Metrics) {
+  Registry &To = *Metrics.Registry;
+  dissemination_counters &Counters = Metrics.Dissemination;
+  Counters.PlatformCalls =
+      addCounter(To, "figplank_platform_calls_total", "Calls to the platform");
+  Counters.PlatformFailures = addCounter(To, "figplank_platform_failures_total",
+                                         "Failed calls to the platform");
+  Counters.EntriesAccepted = addCounter(To, "figplank_entries_accepted_total",
+                                        "Configuration entries accepted");
+  Counters.EntriesRefused = addCounter(To, "figplank_entries_refused_total",
+                                       "Configuration entries refused");
+  Counters.EntriesNotNewer = addCounter(To, "figplank_entries_not_newer_total",
+                                        "Configuration entries already held");
+  Counters.Pushes =
+      addCounter(To, "figplank_pushes_total", "Pushes sent to peers");
+  Counters.Exchanges =
+      addCounter(To, "figplank_exchanges_total", "Exchanges begun with peers");
+}
+
+} // namespace
+
+node_metrics makeMetrics() {
+  node_metrics Metrics;
+  Metrics.Registry = std::make_shared<Registry>();
+  Registry &To = *Metrics.Registry;
+  Metrics.RefusedHere =
+      addRefusals(To, "figplank_refusals_total",
+                  "Requests refused for the backend server, by reason");
+  Metrics.AnsweredReasons = addRefusals(To, "figplank_answer_reasons_total",
+                                        "Answers to callers, by reason");
+  addOutcomes(Metrics);
+  addRetries(Metrics);
+  addLatency(Metrics);
+  addDissemination(Metrics);
+  Metrics.FirstTries =
+      addCounter(To, "figplank_first_tries_total", "First tries sent");
+  Metrics.MalformedMessages =
+      addCounter(To, "figplank_malformed_messages_total",
+                 "Messages that could not be read");
+  Metrics.StaleAnswers = addCounter(To, "figplank_stale_answers_total",
+                                    "Answers that came after the deadline");
+  Metrics.DeadConnections = addCounter(To, "figplank_dead_connections_total",
+                                       "Connections found silent");
+  Metrics.BackendCrashes = addCounter(To, "figplank_backend_crashes_total",
+                                      "Deaths of the backend server");
+  Metrics.Pauses =
+      addCounter(To, "figplank_pauses_total", "Pauses of this process");
+  Metrics.InFlight =
+      addGauge(To, "figplank_in_flight", "Requests at the backend server");
+  Metrics.Limit =
+      addGauge(To, "figplank_limit", "Limit of concurrent requests");
+  Metrics.Queued = addGauge(To, "figplank_queued",
+                            "Requests that wait for the backend server");
+  Metrics.Revision =
+      addGauge(To, "figplank_revision", "Highest configuration revision held");
+  Metrics.Suspects =
+      addGauge(To, "figplank_suspects", "Requests suspected of crashes");
+  Metrics.IdsRun = addGauge(To, "figplank_ids_run", "Ids kept that ran");
+  Metrics.IdsFenced =
+      addGauge(To, "figplank_ids_fenced", "Ids kept that were refused");
+  return Metrics;
+}
+
+std::string formatMetrics(const node_metrics &Metrics) {
+  return prometheus::TextSerializer().Serialize(Metrics.Registry->Collect());
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,79 @@
+/// \file
+/// The node's metrics, exported in the Prometheus text format.
+#pragma once
+
+#include "configuration/configurationtypes.h"
+#include "framework/outcome.h"
+#include "retry/budget.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <memory>
+#include <string>
+
+namespace figplank::node {
+
+/// One counter for each reason, in the order of the enumerators.
+using refusal_counters =
+    std::array<prometheus::Counter *, framework::RefusalTable.size()>;
+using retry_counters =
+    std::array<prometheus::Counter *, retry::RetryReasonNames.size()>;
+using rank_histograms =
+    std::array<prometheus::Histogram *, configuration::RankCount>;
+
+/// Counters of what dissemination does.
+struct dissemination_counters {
+  prometheus::Counter *PlatformCalls = nullptr;
+  prometheus::Counter *PlatformFailures = nullptr;
+  prometheus::Counter *EntriesAccepted = nullptr;
+  prometheus::Counter *EntriesRefused = nullptr;
+  prometheus::Counter *EntriesNotNewer = nullptr;
+  prometheus::Counter *Pushes = nullptr;
+  prometheus::Counter *Exchanges = nullptr;
+};
+
+struct node_metrics {
+  std::shared_ptr<prometheus::Registry> Registry;
+  /// Refusals that this node decided for its own backend server.
+  refusal_counters RefusedHere{};
+  /// Answers to callers and to the backend server's own calls.
+  refusal_counters AnsweredReasons{};
+  std::array<prometheus::Counter *, framework::OutcomeNames.size()>
+      AnsweredOutcomes{};
+  retry_counters Retries{};
+  prometheus::Counter *FirstTries = nullptr;
+  prometheus::Counter *MalformedMessages = nullptr;
+  prometheus::Counter *StaleAnswers = nullptr;
+  prometheus::Counter *DeadConnections = nullptr;
+  prometheus::Counter *BackendCrashes = nullptr;
+  prometheus::Counter *Pauses = nullptr;
+  rank_histograms Latency{};
+  dissemination_counters Dissemination;
+  prometheus::Gauge *InFlight = nullptr;
+  prometheus::Gauge *Limit = nullptr;
+  prometheus::Gauge *Queued = nullptr;
+  prometheus::Gauge *Revision = nullptr;
+  prometheus::Gauge *Suspects = nullptr;
+  prometheus::Gauge *IdsRun = nullptr;
+  prometheus::Gauge *IdsFenced = nullptr;
+};
+
+node_metrics makeMetrics();
+
+inline void countRefusal(refusal_counters &Counters,
+                         framework::refusal_reason Reason) {
+  Counters[static_cast<std::size_t>(Reason)]->Increment();
+}
+
+inline void countRetry(node_metrics &Metrics, retry::retry_reason Reason) {
+  Metrics.Retries[static_cast<std::size_t>(Reason)]->Increment();
+}
+
+/// All metrics in the text format.
+std::string formatMetrics(const node_metrics &Metrics);
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/runtime.cpp
@@ -0,0 +1,54 @@
+#include "node/runtime.h"
+
+namespace figplank::node {
+namespace {
+
+admission::concurrency_limit initialLimit() {
+  admission::limit_settings Settings;
+  Settings.Slots = 4;
+  return admission::startLimit(Settings, framework::readClocks().Monotonic);
+}
+
+} // namespace
+
+node_runtime::node_runtime(node_settings Given, kj::AsyncIoContext &Io)
+    : Settings(std::move(Given)), Io(Io), Timer(Io.provider->getTimer()),
+      Network(Io.provider->getNetwork()), Metrics(makeMetrics()),
+      Home(execution::startHome(Settings.Home, framework::readClocks().Wall)),
+      Limit(initialLimit()),
+      Shares(admission::startShares({}, framework::readClocks().Monotonic)),
+      Random(std::random_device{}()), Tasks(*this) {
+  Pause.LastTick = framework::readClocks().Monotonic;
+}
+
+double node_runtime::draw() {
+  return std::uniform_real_distribution<double>(0.0, 1.0)(Random);
+}
+
+void node_runtime::taskFailed(kj::Exception &&Exception) {
+  framework::logEvent(framework::log_level::Error, "task_failed",
+                      {{"error", Exception.getDescription().cStr()}});
+}
+
+std::array<double, configuration::RankCount>
+ownMinimumShares(const node_runtime &Node) {
+  return configuration::minimumShares(Node.Store.Catalog,
+                                      Node.Settings.Service);
+}
+
+routing::reported_load ownLoad(const node_runtime &Node) {
+  routing::reported_load Load;
+  Load.Limit = Node.Limit.Limit;
+  Load.InFlight = Node.Limit.InFlight;
+  Load.Queued = static_cast<std::uint32_t>(Node.Queue.Size);
+  Load.FailureRate = Node.Limit.FailureRate;
+  Load.Draining = Node.Condition.Draining;
+  return Load;
+}
+
+kj::Duration toDuration(framework::microseconds Time) {
+  return Time.count() <= 0 ? 0 * kj::MICROSECONDS
+                           : Time.count() * kj::MICROSECONDS;
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/runtime.h
@@ -0,0 +1,87 @@
+/// \file
+/// What the parts of one node share: the state of every slice and the event
+/// loop. Everything here belongs to the loop's thread.
+#pragma once
+
+#include "admission/chainshares.h"
+#include "admission/concurrencylimit.h"
+#include "admission/sharecontroller.h"
+#include "admission/workqueue.h"
+#include "configuration/store.h"
+#include "execution/home.h"
+#include "framework/coroutine.h"
+#include "membership/pause.h"
+#include "membership/readers.h"
+#include "node/metrics.h"
+#include "node/settings.h"
+#include "retry/budget.h"
+#include "retry/suspects.h"
+#include "routing/upstreams.h"
+
+#include <kj/async-io.h>
+
+#include <random>
+
+namespace figplank::node {
+
+using framework::task;
+
+/// Whether the node may serve, and what it knows of its own age.
+struct node_condition {
+  /// A configuration has been received and compared with a peer's or the
+  /// platform's.
+  bool Ready = false;
+  /// Nothing has been heard since a pause; ids may have moved meanwhile.
+  bool ViewStale = false;
+  bool Draining = false;
+};
+
+struct node_runtime : private kj::TaskSet::ErrorHandler {
+  node_runtime(node_settings Settings, kj::AsyncIoContext &Io);
+  KJ_DISALLOW_COPY(node_runtime);
+  virtual ~node_runtime() noexcept(false) = default;
+
+  node_settings Settings;
+  kj::AsyncIoContext &Io;
+  kj::Timer &Timer;
+  kj::Network &Network;
+
+  node_condition Condition;
+  node_metrics Metrics;
+  configuration::store Store;
+  execution::home_table Home;
+  admission::concurrency_limit Limit;
+  admission::share_controller Shares;
+  /// What answers to this node's calls carried, by the called template.
+  admission::chain_shares ChainShares;
+  /// The least of them for each template that the own backend server runs.
+  admission::chain_shares ChildShares;
+  admission::work_queue Queue;
+  retry::suspect_table Suspects;
+  /// By service.
+  configuration::text_map<retry::retry_allowance> Allowances;
+  routing::upstream_table Upstreams;
+  membership::reader_settings ReaderSettings;
+  membership::pause_detector Pause;
+  std::mt19937_64 Random;
+  /// Background work; its failures are logged.
+  kj::TaskSet Tasks;
+
+  /// A random number in [0, 1).
+  double draw();
+
+private:
+  void taskFailed(kj::Exception &&Exception) override;
+};
+
+/// Minimum shares of the ranks at this node's backend server.
+std::array<double, configuration::RankCount>
+ownMinimumShares(const node_runtime &Node);
+
+/// The load to report on answers.
+routing::reported_load ownLoad(const node_runtime &Node);
+
+/// Converts for the timer; negative times count as none.
+kj::Duration toDuration(framework::microseconds Time);
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/settings.cpp
@@ -0,0 +1,107 @@
+#include "node/settings.h"
+
+namespace figplank::node {
+namespace {
+
+using framework::milliseconds;
+using framework::setting_spec;
+
+constexpr std::int64_t MaxClockBoundMs = 60'000;
+constexpr std::int64_t MaxRetentionMs = 3'600'000;
+constexpr std::int64_t MaxGraceMs = 600'000;
+
+template <typename Enum, std::size_t Size>
+std::vector<std::string>
+namesIn(const std::array<framework::enum_name<Enum>, Size> &Table) {
+  std::vector<std::string> Names;
+  for (const framework::enum_name<Enum> &Row : Table) {
+    Names.emplace_back(Row.Name);
+  }
+  return Names;
+}
+
+template <typename Enum, std::size_t Size>
+Enum enumSetting(framework::given_settings &Given, std::string_view Name,
+                 const std::array<framework::enum_name<Enum>, Size> &Table) {
+  std::string Text = framework::choiceSetting(Given, Name, namesIn(Table));
+  return framework::valueOf(Table, Text).value_or(Table.front().Value);
+}
+
+} // namespace
+
+const std::vector<setting_spec> &nodeSettingSpecs() {
+  static const std::vector<setting_spec> Specs{
+      {"name", "name of this upstream in the roster", "", true},
+      {"service", "service of the backend server beside this node", "", true},
+      {"zone", "availability zone", "", true},
+      {"http-address", "where callers and the backend server call, IP:PORT", "",
+       true},
+      {"rpc-address", "where other nodes call, IP:PORT, as in the roster", "",
+       true},
+      {"rpc-listen-address", "where the RPC port listens, if elsewhere", "",
+       false},
+      {"source-ip", "IPv4 number that connections to nodes leave from", "",
+       false},
+      {"admin-address", "where /metrics and /status are served, IP:PORT", "",
+       true},
+      {"backend-address", "the backend server, IP:PORT", "", true},
+      {"platform-address", "the platform's configuration service, IP:PORT", "",
+       false},
+      {"seeds", "RPC addresses of peers, comma-separated", "", false},
+      {"clock-bound-ms", "largest difference between two clocks", "2000",
+       false},
+      {"retention-ms", "age at which a request id is refused everywhere",
+       "120000", false},
+      {"max-runs", "ids kept that ran", "50000", false},
+      {"max-fences", "ids kept that were refused", "250000", false},
+      {"grace-ms", "longest time that a leaving node waits for its requests",
+       "30000", false},
+      {"admission", "coordinated, or a baseline: independent, none",
+       "coordinated", false},
+      {"log-level", "debug, info, warning or error", "info", false},
+  };
+  return Specs;
+}
+
+node_settings readNodeSettings(framework::given_settings &Given) {
+  node_settings Settings;
+  Settings.Name = framework::textSetting(Given, "name");
+  Settings.Service = framework::textSetting(Given, "service");
+  Settings.Zone = framework::textSetting(Given, "zone");
+  Settings.HttpAddress =
+      framework::addressSetting(Given, "http-address", false);
+  Settings.RpcAddress = framework::addressSetting(Given, "rpc-address", false);
+  Settings.RpcListenAddress =
+      framework::addressSetting(Given, "rpc-listen-address", true);
+  if (Settings.RpcListenAddress.empty()) {
+    Settings.RpcListenAddress = Settings.RpcAddress;
+  }
+  Settings.SourceIp = framework::ipSetting(Given, "source-ip");
+  Settings.AdminAddress =
+      framework::addressSetting(Given, "admin-address", false);
+  Settings.BackendAddress =
+      framework::addressSetting(Given, "backend-address", false);
+  Settings.PlatformAddress =
+      framework::addressSetting(Given, "platform-address", true);
+  Settings.Seeds = framework::addressListSetting(Given, "seeds");
+  Settings.Home.ClockBound = milliseconds(
+      framework::wholeSetting(Given, "clock-bound-ms", 1, MaxClockBoundMs));
+  Settings.Home.Retention = milliseconds(
+      framework::wholeSetting(Given, "retention-ms", 1'000, MaxRetentionMs));
+  Settings.Home.MaxRuns = static_cast<std::size_t>(
+      framework::wholeSetting(Given, "max-runs", 1, 10'000'000));
+  Settings.Home.MaxFences = static_cast<std::size_t>(
+      framework::wholeSetting(Given, "max-fences", 1, 10'000'000));
+  Settings.Grace =
+      milliseconds(framework::wholeSetting(Given, "grace-ms", 0, MaxGraceMs));
+  Settings.Admission = enumSetting(Given, "admission", AdmissionModeNames);
+  Settings.LogLevel = enumSetting(Given, "log-level", LogLevelNames);
+  if (Settings.Home.Retention <= 2 * Settings.Home.ClockBound) {
+    Given.Findings.push_back({"--retention-ms",
+                              framework::textSetting(Given, "retention-ms"),
+                              "must be more than twice --clock-bound-ms"});
+  }
+  return Settings;
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/wire.cpp
@@ -0,0 +1,227 @@
+#include "node/wire.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figplank::node {
+namespace {
+
+using framework::outcome;
+using framework::refusal_reason;
+
+/// Most fingerprints taken from one crash report.
+constexpr unsigned MaxReported = 10'000;
+
+std::string toString(capnp::Text::Reader Text) {
+  return {Text.begin(), Text.size()};
+}
+
+std::string toString(capnp::Data::Reader Data) {
+  return {reinterpret_cast<const char *>(Data.begin()), Data.size()};
+}
+
+capnp::Data::Reader toData(std::string_view Text) {
+  return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
+}
+
+capnp::Text::Reader toText(const std::string &Text) {
+  return {Text.c_str(), Text.size()};
+}
+
+bool isFraction(double Number) {
+  return std::isfinite(Number) && Number >= 0.0 && Number <= 1.0;
+}
+
+std::optional<refusal_reason> readReason(std::uint8_t Code) {
+  if (Code >= framework::RefusalTable.size()) {
+    return std::nullopt;
+  }
+  return static_cast<refusal_reason>(Code);
+}
+
+void writeLoad(rpc::Load::Builder To, const routing::reported_load &From) {
+  To.setLimit(From.Limit);
+  To.setInFlight(From.InFlight);
+  To.setQueued(From.Queued);
+  To.setFailureRate(From.FailureRate);
+  To.setDraining(From.Draining);
+}
+
+routing::reported_load readLoad(rpc::Load::Reader From) {
+  routing::reported_load Load;
+  Load.Limit =
+      std::isfinite(From.getLimit()) ? std::max(1.0, From.getLimit()) : 1.0;
+  Load.InFlight = From.getInFlight();
+  Load.Queued = From.getQueued();
+  Load.FailureRate =
+      isFraction(From.getFailureRate()) ? From.getFailureRate() : 0.0;
+  Load.Draining = From.getDraining();
+  return Load;
+}
+
+} // namespace
+
+void writeRequest(rpc::WorkRequest::Builder To, const work_request &From,
+                  std::uint64_t Attempt, framework::monotonic_time Now) {
+  To.setAttempt(Attempt);
+  if (From.Id) {
+    To.setId(toData(execution::asText(*From.Id)));
+  }
+  To.setRootId(toText(From.RootId));
+  To.setTemplate(toText(From.Template));
+  To.setService(toText(From.Service));
+  To.setPath(toText(From.Path));
+  To.setOrganisation(toText(From.Organisation));
+  To.setRank(From.Rank);
+  To.setDepth(From.Depth);
+  To.setIdempotent(From.Idempotent);
+  To.setExtraTries(From.ExtraTries);
+  To.setCallerAttempt(From.CallerAttempt);
+  To.setRemainingMs(framework::remainingMilliseconds(Now, From.Deadline));
+  To.setDraw(From.Draw);
+  To.setWeight(From.Weight);
+  To.setContentType(toText(From.ContentType));
+  To.setBody(toData(From.Body));
+}
+
+std::optional<work_request> readRequest(rpc::WorkRequest::Reader From,
+                                        framework::monotonic_time Now) {
+  constexpr double MaxWeight = 1e4;
+  work_request Request;
+  Request.Id = execution::requestIdFromBytes(toString(From.getId()));
+  Request.RootId = toString(From.getRootId());
+  Request.Template = toString(From.getTemplate());
+  Request.Service = toString(From.getService());
+  Request.Path = toString(From.getPath());
+  Request.Organisation = toString(From.getOrganisation());
+  Request.Rank = From.getRank();
+  Request.Depth = From.getDepth();
+  Request.Idempotent = From.getIdempotent();
+  Request.ExtraTries = From.getExtraTries();
+  Request.CallerAttempt = From.getCallerAttempt();
+  Request.Deadline = Now + framework::milliseconds(From.getRemainingMs());
+  Request.Draw = From.getDraw();
+  Request.Weight = From.getWeight();
+  Request.ContentType = toString(From.getContentType());
+  Request.Body = toString(From.getBody());
+  bool Valid = Request.Rank < configuration::RankCount &&
+               isFraction(Request.Draw) && std::isfinite(Request.Weight) &&
+               Request.Weight >= 1.0 && Request.Weight <= MaxWeight &&
+               Request.Path.starts_with('/') &&
+               (Request.Idempotent || Request.Id.has_value());
+  if (!Valid) {
+    return std::nullopt;
+  }
+  return Request;
+}
+
+void writeAnswer(rpc::WorkAnswer::Builder To, const work_answer &From,
+                 std::uint64_t Attempt) {
+  To.setAttempt(Attempt);
+  To.setOutcome(static_cast<std::uint8_t>(From.Outcome));
+  To.setReason(static_cast<std::uint8_t>(From.Reason));
+  To.setStatus(From.Status);
+  To.setContentType(toText(From.ContentType));
+  To.setBody(toData(From.Body));
+  To.setRetryAfterMs(static_cast<std::uint32_t>(From.RetryAfter.count()));
+  To.setUnusedTries(From.UnusedTries);
+  To.setMayRetry(From.MayRetry);
+  To.setShare(From.Share);
+  writeLoad(To.initLoad(), From.Load);
+}
+
+std::optional<work_answer> readAnswer(rpc::WorkAnswer::Reader From,
+                                      std::uint64_t Attempt) {
+  auto Reason = readReason(From.getReason());
+  bool Valid = From.getAttempt() == Attempt && Reason.has_value() &&
+               From.getOutcome() < framework::OutcomeNames.size() &&
+               isFraction(From.getShare());
+  if (!Valid) {
+    return std::nullopt;
+  }
+  work_answer Answer;
+  Answer.Outcome = static_cast<outcome>(From.getOutcome());
+  Answer.Reason = *Reason;
+  Answer.Status = From.getStatus();
+  Answer.ContentType = toString(From.getContentType());
+  Answer.Body = toString(From.getBody());
+  Answer.RetryAfter = framework::milliseconds(From.getRetryAfterMs());
+  Answer.UnusedTries = From.getUnusedTries();
+  Answer.MayRetry = From.getMayRetry();
+  Answer.Share = From.getShare();
+  Answer.Load = readLoad(From.getLoad());
+  return Answer;
+}
+
+void writeEntries(capnp::List<rpc::Entry>::Builder To,
+                  const std::vector<configuration::published_entry> &From) {
+  for (unsigned I = 0; I < From.size(); ++I) {
+    To[I].setKey(toText(From[I].Key));
+    To[I].setRevision(From[I].Revision);
+    To[I].setValue(toText(From[I].Value));
+  }
+}
+
+std::vector<configuration::published_entry>
+readEntries(capnp::List<rpc::Entry>::Reader From) {
+  std::vector<configuration::published_entry> Entries;
+  Entries.reserve(From.size());
+  for (rpc::Entry::Reader Entry : From) {
+    Entries.push_back({toString(Entry.getKey()), Entry.getRevision(),
+                       toString(Entry.getValue())});
+  }
+  return Entries;
+}
+
+void writeCrashReport(rpc::CrashReport::Builder To,
+                      const retry::crash_report &From) {
+  To.setCrashId(From.CrashId);
+  To.setAlone(From.Alone);
+  auto Running = To.initRunning(static_cast<unsigned>(From.Running.size()));
+  for (unsigned I = 0; I < From.Running.size(); ++I) {
+    Running.set(I, From.Running[I]);
+  }
+}
+
+retry::crash_report readCrashReport(rpc::CrashReport::Reader From) {
+  retry::crash_report Report;
+  Report.CrashId = From.getCrashId();
+  Report.Alone = From.getAlone();
+  auto Running = From.getRunning();
+  unsigned Size = std::min(Running.size(), MaxReported);
+  for (unsigned I = 0; I < Size; ++I) {
+    Report.Running.push_back(Running[I]);
+  }
+  return Report;
+}
+
+void writeHandover(rpc::HomeRecord::Builder To, const handover_answer &From) {
+  To.setVerdict(static_cast<std::uint8_t>(From.Verdict));
+  To.setState(static_cast<std::uint8_t>(From.Record.State));
+  To.setReason(static_cast<std::uint8_t>(From.Record.Reason));
+  To.setStatus(From.Record.Answer.Status);
+  To.setContentType(toText(From.Record.Answer.ContentType));
+  To.setBody(toData(From.Record.Answer.Body));
+}
+
+handover_answer readHandover(rpc::HomeRecord::Reader From) {
+  handover_answer Answer;
+  auto Reason = readReason(From.getReason());
+  bool Valid =
+      From.getVerdict() <=
+          static_cast<std::uint8_t>(execution::handover_verdict::Unknowable) &&
+      From.getState() <= static_cast<std::uint8_t>(execution::id_state::Lost) &&
+      Reason;
+  if (!Valid) {
+    return Answer;
+  }
+  Answer.Verdict = static_cast<execution::handover_verdict>(From.getVerdict());
+  Answer.Record.State = static_cast<execution::id_state>(From.getState());
+  Answer.Record.Reason = *Reason;
+  Answer.Record.Answer.Status = From.getStatus();
+  Answer.Record.Answer.ContentType = toString(From.getContentType());
+  Answer.Record.Answer.Body = toString(From.getBody());
+  return Answer;
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/wire.h
@@ -0,0 +1,54 @@
+/// \file
+/// Conversion between the node's types and the messages between nodes.
+#pragma once
+
+#include "configuration/configurationtypes.h"
+#include "execution/home.h"
+#include "node/worktypes.h"
+#include "retry/suspects.h"
+#include "rpc/node.capnp.h"
+
+#include <optional>
+#include <vector>
+
+namespace figplank::node {
+
+/// Fills \p To; the deadline travels as the milliseconds that remain, so that
+/// clocks need not agree.
+void writeRequest(rpc::WorkRequest::Builder To, const work_request &From,
+                  std::uint64_t Attempt, framework::monotonic_time Now);
+
+/// Nothing if the message is not a valid request.
+std::optional<work_request> readRequest(rpc::WorkRequest::Reader From,
+                                        framework::monotonic_time Now);
+
+void writeAnswer(rpc::WorkAnswer::Builder To, const work_answer &From,
+                 std::uint64_t Attempt);
+
+/// Nothing if the answer belongs to another attempt or is not valid.
+std::optional<work_answer> readAnswer(rpc::WorkAnswer::Reader From,
+                                      std::uint64_t Attempt);
+
+void writeEntries(capnp::List<rpc::Entry>::Builder To,
+                  const std::vector<configuration::published_entry> &From);
+
+std::vector<configuration::published_entry>
+readEntries(capnp::List<rpc::Entry>::Reader From);
+
+void writeCrashReport(rpc::CrashReport::Builder To,
+                      const retry::crash_report &From);
+
+retry::crash_report readCrashReport(rpc::CrashReport::Reader From);
+
+/// A previous home's answer.
+struct handover_answer {
+  execution::handover_verdict Verdict = execution::handover_verdict::Unknowable;
+  /// Valid where the verdict is Known.
+  execution::id_record Record;
+};
+
+void writeHandover(rpc::HomeRecord::Builder To, const handover_answer &From);
+
+handover_answer readHandover(rpc::HomeRecord::Reader From);
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/worktypes.h
@@ -0,0 +1,65 @@
+/// \file
+/// One request between the parts of a node and between nodes.
+#pragma once
+
+#include "execution/requestid.h"
+#include "framework/outcome.h"
+#include "framework/timetypes.h"
+#include "routing/upstreams.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace figplank::node {
+
+struct work_request {
+  std::optional<execution::request_id> Id;
+  std::string RootId;
+  std::string Template;
+  std::string Service;
+  std::string Path;
+  std::string Organisation;
+  std::uint8_t Rank = 0;
+  /// Calls between the entry and this one.
+  std::uint8_t Depth = 0;
+  bool Idempotent = true;
+  /// Extra tries left for this call and all below it.
+  std::uint8_t ExtraTries = 0;
+  std::uint32_t CallerAttempt = 1;
+  framework::monotonic_time Deadline;
+  /// The root request's random draw in [0, 1); lower is admitted first.
+  double Draw = 0.0;
+  /// Offered requests that this one stands for.
+  double Weight = 1.0;
+  std::string ContentType;
+  std::string Body;
+};
+
+struct work_answer {
+  framework::outcome Outcome = framework::outcome::Unknown;
+  framework::refusal_reason Reason = framework::refusal_reason::None;
+  /// The backend server's status, if it answered.
+  std::uint16_t Status = 0;
+  std::string ContentType;
+  std::string Body;
+  /// Time before which the caller should not try again.
+  framework::milliseconds RetryAfter{0};
+  std::uint8_t UnusedTries = 0;
+  /// Whether the hop just above may try elsewhere.
+  bool MayRetry = false;
+  /// Share of such work that the chain below admits.
+  double Share = 1.0;
+  routing::reported_load Load;
+};
+
+/// An answer that claims no result of a backend server.
+inline work_answer refuseWork(framework::outcome Outcome,
+                              framework::refusal_reason Reason) {
+  work_answer Answer;
+  Answer.Outcome = Outcome;
+  Answer.Reason = Reason;
+  return Answer;
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/retry/suspects.cpp
@@ -0,0 +1,129 @@
+#include "retry/suspects.h"
+
+#include "framework/hashing.h"
+
+#include <algorithm>
+
+namespace figplank::retry {
+namespace {
+
+using framework::monotonic_time;
+
+void dropExpired(suspect_table &Table, monotonic_time Now) {
+  while (!Table.ByExpiry.empty() && Table.ByExpiry.begin()->first <= Now) {
+    auto Found = Table.Suspects.find(Table.ByExpiry.begin()->second);
+    bool Current = Found != Table.Suspects.end() &&
+                   Found->second.Expires == Table.ByExpiry.begin()->first;
+    if (Current) {
+      Table.Suspects.erase(Found);
+    }
+    Table.ByExpiry.erase(Table.ByExpiry.begin());
+  }
+}
+
+void dropOldest(suspect_table &Table) {
+  while (!Table.ByExpiry.empty()) {
+    fingerprint Oldest = Table.ByExpiry.begin()->second;
+    Table.ByExpiry.erase(Table.ByExpiry.begin());
+    if (Table.Suspects.erase(Oldest) > 0) {
+      return;
+    }
+  }
+}
+
+/// Finds or makes the suspect; a full table gives up the oldest one.
+suspect &touch(suspect_table &Table, fingerprint Fingerprint,
+               monotonic_time Now) {
+  dropExpired(Table, Now);
+  bool IsNew = Table.Suspects.count(Fingerprint) == 0;
+  if (IsNew && Table.Suspects.size() >= Table.Settings.MaxSuspects) {
+    dropOldest(Table);
+  }
+  suspect &Suspect = Table.Suspects[Fingerprint];
+  Suspect.Expires = Now + Table.Settings.Lifetime;
+  Table.ByExpiry.emplace(Suspect.Expires, Fingerprint);
+  return Suspect;
+}
+
+/// Adds the crash; returns whether it was not known of this fingerprint.
+bool addCrash(suspect &Suspect, std::uint64_t CrashId) {
+  auto &Ids = Suspect.CrashIds;
+  if (std::find(Ids.begin(), Ids.end(), CrashId) != Ids.end()) {
+    return false;
+  }
+  Ids.push_back(CrashId);
+  return true;
+}
+
+} // namespace
+
+fingerprint fingerprintOf(std::string_view Template,
+                          std::string_view Organisation,
+                          std::string_view Body) {
+  std::uint64_t Seed = framework::hashText(Template);
+  Seed = framework::hashText(Organisation, Seed);
+  fingerprint Fingerprint = framework::hashText(Body, Seed);
+  return Fingerprint == 0 ? 1 : Fingerprint;
+}
+
+suspect_verdict judge(suspect_table &Table, fingerprint Fingerprint,
+                      monotonic_time Now) {
+  dropExpired(Table, Now);
+  auto Found = Table.Suspects.find(Fingerprint);
+  if (Found == Table.Suspects.end()) {
+    return suspect_verdict::Clear;
+  }
+  if (Found->second.Condemned) {
+    return suspect_verdict::Condemned;
+  }
+  return Table.Running == 0 ? suspect_verdict::RunAlone : suspect_verdict::Wait;
+}
+
+void startSuspect(suspect_table &Table, fingerprint Fingerprint) {
+  Table.Running = Fingerprint;
+}
+
+void finishRun(suspect_table &Table, fingerprint Fingerprint, bool Completed) {
+  if (Table.Running == Fingerprint) {
+    Table.Running = 0;
+  }
+  auto Found = Table.Suspects.find(Fingerprint);
+  if (Completed && Found != Table.Suspects.end() && !Found->second.Condemned) {
+    Table.Suspects.erase(Found);
+  }
+}
+
+crash_report makeCrashReport(const suspect_table &Table, std::uint64_t CrashId,
+                             const std::vector<fingerprint> &Running) {
+  crash_report Report{CrashId, Running, 0};
+  std::sort(Report.Running.begin(), Report.Running.end());
+  Report.Running.erase(
+      std::unique(Report.Running.begin(), Report.Running.end()),
+      Report.Running.end());
+  if (std::binary_search(Report.Running.begin(), Report.Running.end(),
+                         Table.Running)) {
+    Report.Alone = Table.Running;
+  }
+  return Report;
+}
+
+bool applyCrashReport(suspect_table &Table, const crash_report &Report,
+                      monotonic_time Now) {
+  bool News = false;
+  std::vector<fingerprint> Repeated;
+  for (fingerprint Fingerprint : Report.Running) {
+    suspect &Suspect = touch(Table, Fingerprint, Now);
+    News |= addCrash(Suspect, Report.CrashId);
+    if (Suspect.CrashIds.size() >= 2) {
+      Repeated.push_back(Fingerprint);
+    }
+  }
+  for (fingerprint Fingerprint : Repeated) {
+    if (Repeated.size() == 1 || Fingerprint == Report.Alone) {
+      Table.Suspects[Fingerprint].Condemned = true;
+    }
+  }
+  return News;
+}
+
+} // namespace figplank::retry
--- /dev/null
+++ b/standins/fleet.h
@@ -0,0 +1,117 @@
+/// \file
+/// A small fleet for tests and benchmarks: nodes as processes of their own,
+/// platform and backend servers as threads of the test.
+#pragma once
+
+#include "standins/backendserver.h"
+#include "standins/platform.h"
+#include "standins/relay.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace figplank::standins {
+
+struct service_spec {
+  std::string Name;
+  unsigned Upstreams = 2;
+  unsigned Slots = 10;
+  std::map<std::string, path_behaviour> Paths;
+  unsigned MaxWaiting = 10;
+  double ColdFactor = 1.0;
+  unsigned ColdRequests = 0;
+};
+
+struct template_spec {
+  std::string Name;
+  std::string Service;
+  std::string Path;
+  unsigned Rank = 3;
+  unsigned DeadlineMs = 1'000;
+  bool Idempotent = true;
+  unsigned ExtraTries = 2;
+  double MinimumShare = 0.05;
+};
+
+struct fleet_spec {
+  std::vector<service_spec> Services;
+  std::vector<template_spec> Templates;
+  std::vector<std::string> Organisations;
+  unsigned Zones = 2;
+  /// Places a relay before each node's RPC port.
+  bool Relays = false;
+  /// Further flags of every node.
+  std::vector<std::string> NodeFlags;
+};
+
+struct fleet_node {
+  std::string Name;
+  std::string Service;
+  unsigned Zone = 0;
+  std::string Http;
+  std::string Rpc;
+  std::string RpcListen;
+  std::string Admin;
+  std::string BackendAddress;
+  pid_t Process = 0;
+  std::unique_ptr<backend_server> Backend;
+  std::unique_ptr<relay> Relay;
+};
+
+/// A free TCP port of the loopback interface.
+unsigned freePort();
+
+/// An `IP:PORT` on loopback with a free port.
+std::string freeAddress();
+
+class fleet {
+public:
+  explicit fleet(fleet_spec Spec);
+  ~fleet();
+  fleet(const fleet &) = delete;
+  fleet &operator=(const fleet &) = delete;
+
+  /// Waits until every node is ready and holds the platform's revision.
+  /// Returns whether that happened in time.
+  bool awaitReady(
+      std::chrono::milliseconds Timeout = std::chrono::milliseconds(20'000));
+
+  void signalNode(std::size_t Index, int Signal);
+  /// Waits for a node process to end; returns its exit code, or -1 if a
+  /// signal ended it.
+  int awaitExit(std::size_t Index);
+  /// Starts a node again at the same addresses.
+  void startNode(std::size_t Index);
+  /// The node's /status; null if it does not answer.
+  nlohmann::json status(std::size_t Index) const;
+  std::string metrics(std::size_t Index) const;
+
+  /// Publishes a service with its roster, and the list of its instances.
+  void publishService(const std::string &Name);
+  void publishInstance(std::size_t Index, const std::string &State);
+
+  std::vector<std::size_t> nodesOf(const std::string &Service) const;
+  std::vector<std::string> entries() const;
+  /// Cuts zone \p Zone from all others and from the platform; needs relays.
+  void cutZone(unsigned Zone);
+  void healZones();
+
+  fleet_spec Spec;
+  loop_thread Loop;
+  execution_log Log;
+  std::string PlatformAddress;
+  std::unique_ptr<platform> Platform;
+  std::vector<fleet_node> Nodes;
+
+private:
+  void makeNodes();
+  void publishAll();
+  std::string sourcePrefix(unsigned Zone) const;
+};
+
+} // namespace figplank::standins
