--- a/cmake/figplank_module.cmake
+++ b/cmake/figplank_module.cmake
@@ -13,6 +13,7 @@
   add_executable(${NAME}_tests ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/src/framework/tests/main.cpp)
   target_link_libraries(${NAME}_tests PRIVATE figplank_options ${ARG_DEPENDS} CppUTest CppUTestExt)
   target_compile_definitions(${NAME}_tests PRIVATE
+    CPPUTEST_MEM_LEAK_DETECTION_DISABLED
     FIGPLANK_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/data")
   add_test(NAME ${NAME} COMMAND ${NAME}_tests -v)
 endfunction()
--- a/src/execution/home.cpp
+++ b/src/execution/home.cpp
@@ -85,6 +85,16 @@
   return refuse(outcome::Unknown, Record.Reason);
 }
 
+/// Whether two rosters give every id the same home; zones do not matter.
+bool haveSameHomes(const std::vector<roster_member> &Left,
+                   const std::vector<roster_member> &Right) {
+  auto Same = [](const roster_member &First, const roster_member &Second) {
+    return First.Name == Second.Name && First.Address == Second.Address;
+  };
+  return std::is_permutation(Left.begin(), Left.end(), Right.begin(),
+                             Right.end(), Same);
+}
+
 bool isFull(const home_table &Table) {
   return Table.Runs >= Table.Settings.MaxRuns ||
          Table.AnswerBytes >= Table.Settings.MaxAnswerBytes;
@@ -94,8 +104,8 @@
                     const std::vector<roster_member> &Members,
                     const configuration::service_settings &Service,
                     wall_time Now) {
-  if (Members.empty() || Members == Service.Roster ||
-      Members == Service.Previous) {
+  if (Members.empty() || haveSameHomes(Members, Service.Roster) ||
+      haveSameHomes(Members, Service.Previous)) {
     return;
   }
   Table.Former.push_back({Members, Now + Table.Settings.ClockBound});
--- a/src/framework/tests/main.cpp
+++ b/src/framework/tests/main.cpp
@@ -1,8 +1,8 @@
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 
 int main(int Count, char **Arguments) {
-  // Libraries keep buffers between tests, which the leak detector would
-  // report; AddressSanitizer watches for leaks in CI.
+  // The leak detector is not made for threads; AddressSanitizer watches in CI.
   MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   return CommandLineTestRunner::RunAllTests(Count, Arguments);
 }
--- a/src/node/callerhttp.cpp
+++ b/src/node/callerhttp.cpp
@@ -1,5 +1,7 @@
 #include "node/callerhttp.h"
 
+#include "framework/peerstate.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -71,8 +73,37 @@
   return Body.dump() + "\n";
 }
 
+/// Serves one connection and watches whether the caller has left.
+class connection_service final : public kj::HttpService {
+public:
+  connection_service(kj::HttpService &Callers, kj::AsyncIoStream &Stream,
+                     kj::Timer &Timer)
+      : Callers(Callers), Stream(Stream), Timer(Timer) {}
+
+  kj::Promise<void> request(kj::HttpMethod Method, kj::StringPtr Url,
+                            const kj::HttpHeaders &Received,
+                            kj::AsyncInputStream &Body,
+                            Response &Reply) override {
+    kj::Promise<void> Gone = framework::awaitPeerClosed(Stream, Timer);
+    return Callers.request(Method, Url, Received, Body, Reply)
+        .exclusiveJoin(Gone.then([]() -> kj::Promise<void> {
+          return KJ_EXCEPTION(DISCONNECTED, "the caller has left");
+        }));
+  }
+
+private:
+  kj::HttpService &Callers;
+  kj::AsyncIoStream &Stream;
+  kj::Timer &Timer;
+};
+
 } // namespace
 
+kj::Own<kj::HttpService>
+caller_service::serveConnection(kj::AsyncIoStream &Stream) {
+  return kj::heap<connection_service>(*this, Stream, Node.Timer);
+}
+
 caller_headers makeCallerHeaders() {
   kj::HttpHeaderTable::Builder Builder;
   caller_headers Headers;
--- a/src/node/callerhttp.h
+++ b/src/node/callerhttp.h
@@ -50,6 +50,10 @@
   handleClientProtocolError(kj::HttpHeaders::ProtocolError Error,
                             Response &Reply) override;
 
+  /// A service for one connection, which ends the work of callers that have
+  /// closed it.
+  kj::Own<kj::HttpService> serveConnection(kj::AsyncIoStream &Stream);
+
 private:
   /// What a request asks for, or why it is refused.
   struct parsed_call {
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -30,14 +30,21 @@
         Rpc(kj::heap<rpc_service>(Node, Upstream, Dissemination)),
         Admin(Node, Mailbox,
               [this]() { return formatStatus(Node, Upstream, Dissemination); }),
-        Http(Node.Timer, Callers.headerTable(), Callers,
-             httpSettings(Callers)) {}
+        Http(
+            Node.Timer, Callers.headerTable(),
+            [this](kj::AsyncIoStream &Stream) {
+              return Callers.serveConnection(Stream);
+            },
+            httpSettings(Callers)) {}
 
   static kj::HttpServerSettings httpSettings(caller_service &Callers) {
     kj::HttpServerSettings Settings;
     Settings.errorHandler = Callers;
     // Idle callers keep their connections.
     Settings.pipelineTimeout = 60 * kj::SECONDS;
+    // A refused upload is read to its end, so that the refusal arrives.
+    Settings.canceledUploadGraceBytes = std::size_t{16} << 20U;
+    Settings.canceledUploadGracePeriod = 5 * kj::SECONDS;
     return Settings;
   }
 
@@ -113,6 +120,7 @@
 task<void> drain(node_parts &Parts) {
   node_runtime &Node = Parts.Node;
   Node.Condition.Draining = true;
+  Parts.Upstream.excludeSelf();
   logEvent(log_level::Info, "draining",
            {{"unfinished",
              static_cast<std::uint64_t>(Parts.Upstream.unfinished())}});
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -282,9 +282,12 @@
     Result.Reason = retry_reason::UpstreamUnreachable;
     break;
   case call_failure::Lost:
-    Result.Answer =
-        refuseWork(outcome::Unknown, refusal_reason::ConnectionLost);
-    Result.Reason = retry_reason::ConnectionLost;
+    // Over a connection that never carried an answer, nothing may have arrived.
+    Result.Answer = refuseWork(outcome::Unknown,
+                               Proven ? refusal_reason::ConnectionLost
+                                      : refusal_reason::UpstreamUnreachable);
+    Result.Reason = Proven ? retry_reason::ConnectionLost
+                           : retry_reason::UpstreamUnreachable;
     break;
   case call_failure::TimedOut:
     Result.Answer =
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -64,6 +64,10 @@
   Connection->GivenUp = GiveUp.promise.fork();
   Connection->LastHeard = readClocks().Monotonic;
   Connection->LastUsed = Connection->LastHeard;
+  peer_connection &Adopted = *Connection;
+  Connection->Watching = Connection->Rpc->onDisconnect()
+                             .then([this, &Adopted]() { giveUp(Adopted); })
+                             .eagerlyEvaluate([](kj::Exception &&) {});
   Connections[Address] = kj::addRef(*Connection);
   return Connection;
 }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -42,6 +42,8 @@
   /// Rejected when the connection is given up, which ends its calls.
   kj::Own<kj::PromiseFulfiller<void>> GiveUp;
   kj::Maybe<kj::ForkedPromise<void>> GivenUp;
+  /// Gives the connection up when it is closed.
+  kj::Maybe<kj::Promise<void>> Watching;
 };
 
 /// How a call to a peer ended without an answer.
--- /dev/null
+++ b/src/node/tests/leaving_tests.cpp
@@ -0,0 +1,104 @@
+#include "testfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace figplank;
+using namespace figplank::node::tests;
+using standins::fleet;
+using standins::load_generator;
+using standins::request_result;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::size_t runsOn(const fleet &Fleet, const std::string &Server) {
+  std::size_t Runs = 0;
+  for (const standins::execution_record &Record : Fleet.Log.records()) {
+    Runs += Record.Server == Server ? 1 : 0;
+  }
+  return Runs;
+}
+
+} // namespace
+
+TEST_GROUP(Leaving){};
+
+TEST(Leaving, TerminatedNodeEndsItsRequestsAndTakesNoNewOnes) {
+  fleet Fleet(ledgerFleet(2, milliseconds(300)));
+  CHECK(awaitServing(Fleet));
+  load_generator Callers({Fleet.Nodes[0].Http, Fleet.Nodes[1].Http});
+  std::string Running = keyWithHome(Fleet, "ledger", 0);
+  request_result Kept;
+  std::thread Call(
+      [&]() { Kept = Callers.sendOne(chargeStream(), Running, 1); });
+  CHECK(eventually([&]() { return startsOf(Fleet, Running) == 1; }));
+  Fleet.signalNode(0, SIGTERM);
+  std::this_thread::sleep_for(milliseconds(50));
+  std::size_t Before = runsOn(Fleet, "ledger-1");
+  // The list of instances still calls it live.
+  standins::load_stream Stream = priceStream();
+  for (int I = 0; I < 10; ++I) {
+    CHECK(Callers.sendOne(Stream, "", 1).Whole);
+  }
+  Call.join();
+  CHECK_TEXT(Kept.Whole, Kept.Reason.c_str());
+  LONGS_EQUAL(Before, runsOn(Fleet, "ledger-1"));
+  LONGS_EQUAL(0, Fleet.awaitExit(0));
+}
+
+TEST(Leaving, CallerOfATerminatedEntryGetsItsAnswer) {
+  fleet Fleet(ledgerFleet(2, milliseconds(300)));
+  CHECK(awaitServing(Fleet));
+  load_generator Callers({Fleet.Nodes[0].Http});
+  request_result Kept;
+  std::thread Call([&]() { Kept = Callers.sendOne(priceStream(), "", 0); });
+  CHECK(eventually([&]() { return Fleet.Log.records().size() == 1; }));
+  Fleet.signalNode(0, SIGTERM);
+  Call.join();
+  CHECK_TEXT(Kept.Whole, Kept.Reason.c_str());
+  LONGS_EQUAL(0, Fleet.awaitExit(0));
+}
+
+TEST(Leaving, DrainingBackendServerGetsNoNewWork) {
+  fleet Fleet(ledgerFleet(2, milliseconds(2)));
+  CHECK(awaitServing(Fleet));
+  load_generator Callers(Fleet.entries());
+  standins::backend_faults Faults;
+  Faults.Draining = true;
+  Fleet.Nodes[0].Backend->setFaults(Faults);
+  CHECK(eventually([&]() {
+    (void)Callers.sendOne(priceStream(), "", 0);
+    return Fleet.status(0)["draining"] == true;
+  }));
+  std::size_t Before = runsOn(Fleet, "ledger-1");
+  for (int I = 0; I < 20; ++I) {
+    CHECK(Callers.sendOne(priceStream(), "", I % 2).Whole);
+  }
+  LONGS_EQUAL(Before, runsOn(Fleet, "ledger-1"));
+}
+
+TEST(Leaving, LeavingHomeFencesItsIds) {
+  fleet Fleet(ledgerFleet(2, milliseconds(500)));
+  CHECK(awaitServing(Fleet));
+  load_generator Callers({Fleet.Nodes[0].Http, Fleet.Nodes[1].Http});
+  std::string Running = keyWithHome(Fleet, "ledger", 0);
+  std::thread Call(
+      [&]() { (void)Callers.sendOne(chargeStream(), Running, 1); });
+  CHECK(eventually([&]() { return startsOf(Fleet, Running) == 1; }));
+  Fleet.signalNode(0, SIGTERM);
+  std::this_thread::sleep_for(milliseconds(50));
+  std::string Late = keyWithHome(Fleet, "ledger", 0);
+  request_result Refused = Callers.sendOne(chargeStream(), Late, 1);
+  STRCMP_EQUAL("not_run", Refused.Outcome.c_str());
+  STRCMP_EQUAL("draining", Refused.Reason.c_str());
+  Call.join();
+  Fleet.awaitExit(0);
+  Fleet.startNode(0);
+  CHECK(awaitServing(Fleet));
+  CHECK_FALSE(Callers.sendOne(chargeStream(), Late, 1).Whole);
+  LONGS_EQUAL(0, startsOf(Fleet, Late));
+}
--- /dev/null
+++ b/src/node/tests/once_tests.cpp
@@ -0,0 +1,239 @@
+#include "testfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace figplank;
+using namespace figplank::node::tests;
+using standins::fleet;
+using standins::load_generator;
+using standins::request_result;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Sends \p Key from a thread of its own, for faults in mid-run.
+struct background_call {
+  background_call(load_generator &Callers, const standins::load_stream &Stream,
+                  const std::string &Key, std::size_t Entry)
+      : Thread([=, &Callers, this]() {
+          Result = Callers.sendOne(Stream, Key, Entry);
+        }) {}
+  ~background_call() {
+    if (Thread.joinable()) {
+      Thread.join();
+    }
+  }
+
+  request_result await() {
+    Thread.join();
+    return Result;
+  }
+
+  request_result Result;
+  std::thread Thread;
+};
+
+} // namespace
+
+TEST_GROUP(Once){};
+
+TEST(Once, ResendsThroughEveryNodeRunOnce) {
+  fleet Fleet(ledgerFleet(3, milliseconds(50)));
+  CHECK(awaitServing(Fleet));
+  load_generator Callers(Fleet.entries());
+  std::string Key = newKey();
+  background_call First(Callers, chargeStream(), Key, 0);
+  background_call Second(Callers, chargeStream(), Key, 1);
+  background_call Third(Callers, chargeStream(), Key, 2);
+  CHECK(First.await().Whole);
+  CHECK(Second.await().Whole);
+  CHECK(Third.await().Whole);
+  CHECK(Callers.sendOne(chargeStream(), Key, 1).Whole);
+  LONGS_EQUAL(1, startsOf(Fleet, Key));
+}
+
+TEST(Once, HomeKilledInMidRunLeavesTheOutcomeUnknownForGood) {
+  fleet Fleet(ledgerFleet(3, milliseconds(1'000)));
+  CHECK(awaitServing(Fleet));
+  std::string Key = keyWithHome(Fleet, "ledger", 0);
+  load_generator Callers(Fleet.entries());
+  background_call Call(Callers, chargeStream(), Key, 1);
+  CHECK(eventually([&]() { return startsOf(Fleet, Key) == 1; }));
+  Fleet.signalNode(0, SIGKILL);
+  Fleet.awaitExit(0);
+  STRCMP_EQUAL("unknown", Call.await().Outcome.c_str());
+  Fleet.startNode(0);
+  CHECK(awaitServing(Fleet));
+  request_result Again = Callers.sendOne(chargeStream(), Key, 2);
+  STRCMP_EQUAL("unknown", Again.Outcome.c_str());
+  STRCMP_EQUAL("id_before_start", Again.Reason.c_str());
+  LONGS_EQUAL(1, startsOf(Fleet, Key));
+  CHECK(Callers.sendOne(chargeStream(), keyWithHome(Fleet, "ledger", 0), 2)
+            .Whole);
+}
+
+TEST(Once, BackendKilledInMidRunIsUnknownAndNotRunAgain) {
+  fleet Fleet(ledgerFleet(3, milliseconds(500)));
+  CHECK(awaitServing(Fleet));
+  std::string Key = keyWithHome(Fleet, "ledger", 0);
+  load_generator Callers(Fleet.entries());
+  background_call Call(Callers, chargeStream(), Key, 1);
+  CHECK(eventually([&]() { return startsOf(Fleet, Key) == 1; }));
+  Fleet.Nodes[0].Backend->crash();
+  STRCMP_EQUAL("unknown", Call.await().Outcome.c_str());
+  Fleet.Nodes[0].Backend->restart();
+  STRCMP_EQUAL("unknown",
+               Callers.sendOne(chargeStream(), Key, 2).Outcome.c_str());
+  LONGS_EQUAL(1, startsOf(Fleet, Key));
+}
+
+TEST(Once, BackendThatCannotBeReachedIsNotRunAndStaysSo) {
+  fleet Fleet(ledgerFleet(3, milliseconds(5)));
+  CHECK(awaitServing(Fleet));
+  std::string Key = keyWithHome(Fleet, "ledger", 0);
+  load_generator Callers(Fleet.entries());
+  Fleet.Nodes[0].Backend->crash();
+  request_result Refused = Callers.sendOne(chargeStream(), Key, 1);
+  STRCMP_EQUAL("not_run", Refused.Outcome.c_str());
+  STRCMP_EQUAL("backend_unreachable", Refused.Reason.c_str());
+  Fleet.Nodes[0].Backend->restart();
+  STRCMP_EQUAL("not_run",
+               Callers.sendOne(chargeStream(), Key, 2).Outcome.c_str());
+  LONGS_EQUAL(0, startsOf(Fleet, Key));
+}
+
+TEST(Once, ShedOfTheBackendIsNotRunForGood) {
+  fleet Fleet(ledgerFleet(2, milliseconds(5)));
+  CHECK(awaitServing(Fleet));
+  standins::backend_faults Faults;
+  Faults.ShedAll = true;
+  std::string Key = keyWithHome(Fleet, "ledger", 0);
+  Fleet.Nodes[0].Backend->setFaults(Faults);
+  load_generator Callers(Fleet.entries());
+  STRCMP_EQUAL("backend_shed",
+               Callers.sendOne(chargeStream(), Key, 0).Reason.c_str());
+  Fleet.Nodes[0].Backend->setFaults({});
+  STRCMP_EQUAL("not_run",
+               Callers.sendOne(chargeStream(), Key, 1).Outcome.c_str());
+  LONGS_EQUAL(0, startsOf(Fleet, Key));
+}
+
+TEST(Once, FrozenHomeActsOnNothingOldWhenItWakes) {
+  fleet Fleet(ledgerFleet(3, milliseconds(5)));
+  CHECK(awaitServing(Fleet));
+  load_generator Callers(Fleet.entries());
+  std::string Key = keyWithHome(Fleet, "ledger", 0);
+  Fleet.signalNode(0, SIGSTOP);
+  request_result Frozen = Callers.sendOne(chargeStream(), Key, 1);
+  STRCMP_EQUAL("unknown", Frozen.Outcome.c_str());
+  std::this_thread::sleep_for(milliseconds(1'000));
+  Fleet.signalNode(0, SIGCONT);
+  std::this_thread::sleep_for(milliseconds(1'000));
+  request_result Again = Callers.sendOne(chargeStream(), Key, 2);
+  LONGS_EQUAL(0, startsOf(Fleet, Key));
+  STRCMP_EQUAL("unknown", Again.Outcome.c_str());
+  CHECK(eventually([&]() {
+    return Callers.sendOne(chargeStream(), keyWithHome(Fleet, "ledger", 0), 1)
+        .Whole;
+  }));
+}
+
+TEST(Once, CutZoneTakesOnlyItsOwnHomesAway) {
+  standins::fleet_spec Spec = ledgerFleet(3, milliseconds(2));
+  Spec.Relays = true;
+  fleet Fleet(Spec);
+  CHECK(awaitServing(Fleet));
+  load_generator Callers(Fleet.entries());
+  Fleet.cutZone(3);
+  for (std::size_t Home = 0; Home < 2; ++Home) {
+    std::string Key = keyWithHome(Fleet, "ledger", Home);
+    CHECK_TEXT(Callers.sendOne(chargeStream(), Key, 1 - Home).Whole,
+               "home in the other zone");
+  }
+  std::string Beyond = keyWithHome(Fleet, "ledger", 2);
+  request_result Refused = Callers.sendOne(chargeStream(), Beyond, 0);
+  STRCMP_EQUAL("unknown", Refused.Outcome.c_str());
+  STRCMP_EQUAL("home_unreachable", Refused.Reason.c_str());
+  // The cut zone serves the ids whose home it is.
+  CHECK(Callers.sendOne(chargeStream(), keyWithHome(Fleet, "ledger", 2), 2)
+            .Whole);
+  Fleet.healZones();
+  CHECK(eventually(
+      [&]() { return Callers.sendOne(chargeStream(), Beyond, 0).Whole; }));
+  LONGS_EQUAL(1, startsOf(Fleet, Beyond));
+}
+
+TEST(Once, SilentConnectionIsReplacedAndTheIdRunsOnce) {
+  standins::fleet_spec Spec = ledgerFleet(2, milliseconds(2));
+  Spec.Relays = true;
+  fleet Fleet(Spec);
+  CHECK(awaitServing(Fleet));
+  load_generator Callers(Fleet.entries());
+  std::string Warm = keyWithHome(Fleet, "ledger", 0);
+  CHECK(Callers.sendOne(chargeStream(), Warm, 1).Whole);
+  Fleet.Nodes[0].Relay->silence();
+  std::string Key = keyWithHome(Fleet, "ledger", 0);
+  request_result Result = Callers.sendOne(chargeStream(), Key, 1);
+  CHECK_TEXT(Result.Whole, Result.Reason.c_str());
+  LONGS_EQUAL(1, startsOf(Fleet, Key));
+  CHECK(Fleet.metrics(1).find("figplank_dead_connections_total 0") ==
+        std::string::npos);
+}
+
+TEST(Once, RosterChangeWithPreviousRunsEachIdOnce) {
+  standins::fleet_spec Spec = ledgerFleet(3, milliseconds(5));
+  fleet Fleet(Spec);
+  CHECK(awaitServing(Fleet));
+  load_generator Callers(Fleet.entries());
+  std::vector<std::string> Keys;
+  for (int I = 0; I < 30; ++I) {
+    Keys.push_back(newKey());
+    CHECK(Callers.sendOne(chargeStream(), Keys.back(), 0).Whole);
+  }
+  // ledger-3 leaves the roster while it still lives.
+  nlohmann::json All = nlohmann::json::array();
+  for (const standins::fleet_node &Node : Fleet.Nodes) {
+    All.push_back({{"name", Node.Name}, {"zone", "z1"}, {"address", Node.Rpc}});
+  }
+  nlohmann::json Fewer = {All[0], All[1]};
+  nlohmann::json Value{{"slots", 20}, {"roster", Fewer}, {"previous", All}};
+  Fleet.Platform->publish("services/ledger", Value.dump());
+  CHECK(Fleet.awaitReady());
+  for (const std::string &Key : Keys) {
+    request_result Again = Callers.sendOne(chargeStream(), Key, 1);
+    CHECK_TEXT(Again.Whole, Again.Reason.c_str());
+    LONGS_EQUAL(1, startsOf(Fleet, Key));
+  }
+}
+
+TEST(Once, RequestThatCrashesBackendServersStopsAfterTheSecond) {
+  standins::fleet_spec Spec = ledgerFleet(4, milliseconds(5));
+  fleet Fleet(Spec);
+  CHECK(awaitServing(Fleet));
+  standins::backend_faults Faults;
+  Faults.CrashMarker = "poison";
+  Faults.RestartAfter = milliseconds(100);
+  for (standins::fleet_node &Node : Fleet.Nodes) {
+    Node.Backend->setFaults(Faults);
+  }
+  load_generator Callers(Fleet.entries());
+  standins::load_stream Poison = priceStream();
+  Poison.Body = "poison";
+  request_result Last;
+  for (std::size_t I = 0; I < 8; ++I) {
+    Last = Callers.sendOne(Poison, "", I % 4);
+  }
+  unsigned Crashes = 0;
+  for (standins::fleet_node &Node : Fleet.Nodes) {
+    Crashes += Node.Backend->crashes();
+  }
+  LONGS_EQUAL(2, Crashes);
+  STRCMP_EQUAL("suspect_request", Last.Reason.c_str());
+  STRCMP_EQUAL("not_run", Last.Outcome.c_str());
+  CHECK(eventually(
+      [&]() { return Callers.sendOne(priceStream(), "", 0).Whole; }));
+}
--- /dev/null
+++ b/src/node/tests/path_tests.cpp
@@ -0,0 +1,201 @@
+#include "testfleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <httplib.h>
+
+#include <thread>
+
+using namespace figplank;
+using namespace figplank::node::tests;
+using standins::execution_state;
+using standins::fleet;
+using standins::load_generator;
+using standins::request_result;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A chain of \p Length services, each with one upstream, in which template
+/// `step1` calls `step2` and so on.
+standins::fleet_spec chainFleet(unsigned Length) {
+  standins::fleet_spec Spec;
+  Spec.Organisations = {"alpha"};
+  for (unsigned I = 1; I <= Length; ++I) {
+    standins::service_spec Service;
+    Service.Name = "s" + std::to_string(I);
+    Service.Upstreams = 1;
+    Service.Paths["/run"].ServiceTime = std::chrono::microseconds(500);
+    if (I < Length) {
+      Service.Paths["/run"].Children = {{"step" + std::to_string(I + 1)}};
+    }
+    Spec.Services.push_back(Service);
+    standins::template_spec Template;
+    Template.Name = "step" + std::to_string(I);
+    Template.Service = Service.Name;
+    Template.Path = "/run";
+    Template.DeadlineMs = 5'000;
+    Spec.Templates.push_back(Template);
+  }
+  return Spec;
+}
+
+standins::load_stream chainStream() {
+  standins::load_stream Stream;
+  Stream.Template = "step1";
+  Stream.Organisation = "alpha";
+  return Stream;
+}
+
+httplib::Headers organisationAlpha() {
+  return {{"Figplank-Organisation", "alpha"}};
+}
+
+} // namespace
+
+TEST_GROUP(Path){};
+
+TEST(Path, RequestPassesAChainOfFourteenServices) {
+  fleet Fleet(chainFleet(14));
+  CHECK(Fleet.awaitReady());
+  load_generator Callers({Fleet.Nodes.back().Http});
+  request_result Result = Callers.sendOne(chainStream(), "", 0);
+  CHECK_TEXT(Result.Whole, Result.Reason.c_str());
+  LONGS_EQUAL(14, Fleet.Log.records().size());
+}
+
+TEST(Path, CallerThatLeavesCancelsTheWorkBelow) {
+  standins::fleet_spec Spec = ledgerFleet(2, milliseconds(2'000));
+  fleet Fleet(Spec);
+  CHECK(Fleet.awaitReady());
+  load_generator Callers({Fleet.Nodes[0].Http});
+  standins::load_stream Stream = priceStream();
+  Stream.Patience = milliseconds(200);
+  request_result Result = Callers.sendOne(Stream, "", 0);
+  STRCMP_EQUAL("caller_timeout", Result.Reason.c_str());
+  CHECK(eventually(
+      [&]() {
+        auto Records = Fleet.Log.records();
+        return Records.size() == 1 &&
+               Records[0].State == execution_state::Cancelled;
+      },
+      milliseconds(1'500)));
+}
+
+TEST(Path, PassedDeadlineCancelsTheWorkBelow) {
+  fleet Fleet(ledgerFleet(2, milliseconds(2'000)));
+  CHECK(Fleet.awaitReady());
+  httplib::Client Client("http://" + Fleet.Nodes[0].Http);
+  httplib::Headers Headers = organisationAlpha();
+  Headers.emplace("Figplank-Deadline-Ms", "150");
+  auto Result = Client.Post("/work/price", Headers, "body", "text/plain");
+  CHECK(Result != nullptr);
+  LONGS_EQUAL(504, Result->status);
+  STRCMP_EQUAL("unknown", Result->get_header_value("Figplank-Outcome").c_str());
+  STRCMP_EQUAL("deadline_passed",
+               Result->get_header_value("Figplank-Reason").c_str());
+  CHECK(eventually(
+      [&]() {
+        auto Records = Fleet.Log.records();
+        return Records.size() == 1 &&
+               Records[0].State == execution_state::Cancelled;
+      },
+      milliseconds(1'500)));
+}
+
+TEST(Path, BadInputIsRefusedClearlyAndTheNodeStaysUp) {
+  fleet Fleet(ledgerFleet(1, milliseconds(1)));
+  CHECK(awaitServing(Fleet));
+  httplib::Client Client("http://" + Fleet.Nodes[0].Http);
+  auto Post = [&](const char *Path, const httplib::Headers &Headers,
+                  const std::string &Body) {
+    auto Result = Client.Post(Path, Headers, Body, "text/plain");
+    CHECK(Result != nullptr);
+    return std::to_string(Result->status) + " " +
+           Result->get_header_value("Figplank-Reason");
+  };
+  httplib::Headers Alpha = organisationAlpha();
+  STRCMP_EQUAL("404 unknown_template", Post("/work/none", Alpha, "x").c_str());
+  STRCMP_EQUAL("403 unknown_organisation",
+               Post("/work/price", {}, "x").c_str());
+  STRCMP_EQUAL("400 missing_id", Post("/work/charge", Alpha, "x").c_str());
+  httplib::Headers WithKey = Alpha;
+  WithKey.emplace("Idempotency-Key", "not-a-key");
+  STRCMP_EQUAL("400 invalid_id", Post("/work/charge", WithKey, "x").c_str());
+  httplib::Headers BadDeadline = Alpha;
+  BadDeadline.emplace("Figplank-Deadline-Ms", "-5");
+  STRCMP_EQUAL("400 malformed_request",
+               Post("/work/price", BadDeadline, "x").c_str());
+  httplib::Headers BadContext = Alpha;
+  BadContext.emplace("Figplank-Context", "12345");
+  STRCMP_EQUAL("400 unknown_context",
+               Post("/work/price", BadContext, "x").c_str());
+  STRCMP_EQUAL("413 body_too_large",
+               Post("/work/price", Alpha, std::string(2U << 20U, 'x')).c_str());
+  STRCMP_EQUAL("400 malformed_request", Post("/other", Alpha, "x").c_str());
+  STRCMP_EQUAL("200 ", Post("/work/price", Alpha, "x").c_str());
+  LONGS_EQUAL(1, Fleet.Log.records().size());
+}
+
+TEST(Path, MalformedBytesOnEitherPortLeaveOtherCallsAlone) {
+  fleet Fleet(ledgerFleet(1, milliseconds(1)));
+  CHECK(Fleet.awaitReady());
+  for (const std::string &Address : {Fleet.Nodes[0].Http, Fleet.Nodes[0].Rpc}) {
+    httplib::Client Raw("http://" + Address);
+    Raw.set_read_timeout(1);
+    // To the RPC port this is garbage; to the HTTP port a wrong method.
+    (void)Raw.Get("/\x01\x02garbage");
+  }
+  load_generator Callers({Fleet.Nodes[0].Http});
+  CHECK(Callers.sendOne(priceStream(), "", 0).Whole);
+}
+
+TEST(Path, TruncatedAnswerIsNeverASuccess) {
+  fleet Fleet(ledgerFleet(1, milliseconds(1)));
+  CHECK(awaitServing(Fleet));
+  standins::backend_faults Faults;
+  Faults.TruncateAnswers = true;
+  Fleet.Nodes[0].Backend->setFaults(Faults);
+  load_generator Callers({Fleet.Nodes[0].Http});
+  request_result Result = Callers.sendOne(chargeStream(), newKey(), 0);
+  CHECK_FALSE(Result.Whole);
+  CHECK_FALSE(Result.Wrong);
+  STRCMP_EQUAL("unknown", Result.Outcome.c_str());
+}
+
+TEST(Path, EveryCallerGetsItsOwnAnswerUnderConcurrency) {
+  fleet Fleet(ledgerFleet(3, milliseconds(2)));
+  CHECK(awaitServing(Fleet));
+  load_generator Callers(Fleet.entries());
+  standins::load_stream Stream = chargeStream();
+  Stream.WithKey = true;
+  Stream.Rate = 300;
+  Callers.run({Stream}, milliseconds(1'000));
+  for (const request_result &Result : Callers.results()) {
+    CHECK_FALSE(Result.Wrong);
+  }
+}
+
+TEST(Path, NodeWithoutAnyConfigurationSaysSo) {
+  standins::fleet_spec Spec = ledgerFleet(1, milliseconds(1));
+  fleet Fleet(Spec);
+  CHECK(Fleet.awaitReady());
+  Fleet.Platform->setMode(standins::platform_mode::Down);
+  Fleet.signalNode(0, SIGKILL);
+  Fleet.awaitExit(0);
+  Fleet.startNode(0);
+  httplib::Client Client("http://" + Fleet.Nodes[0].Http);
+  std::string Reason;
+  CHECK(eventually([&]() {
+    auto Result =
+        Client.Post("/work/price", organisationAlpha(), "x", "text/plain");
+    Reason = Result ? Result->get_header_value("Figplank-Reason") : "";
+    return !Reason.empty();
+  }));
+  STRCMP_EQUAL("no_configuration", Reason.c_str());
+  Fleet.Platform->setMode(standins::platform_mode::Up);
+  CHECK(Fleet.awaitReady());
+  load_generator Callers({Fleet.Nodes[0].Http});
+  CHECK(Callers.sendOne(priceStream(), "", 0).Whole);
+}
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -422,6 +422,7 @@
   work_answer Answer;
   if (Got.Draining && !Node.Condition.Draining) {
     Node.Condition.Draining = true;
+    excludeSelf();
     logEvent(log_level::Info, "backend_draining", {});
     Node.Tasks.add(announceDrain());
   }
@@ -542,6 +543,11 @@
   logEvent(log_level::Info, "notice_lost", {{"address", Address}});
 }
 
+void upstream_service::excludeSelf() {
+  routing::recordDrain(Node.Upstreams, Node.Settings.RpcAddress,
+                       readClocks().Monotonic);
+}
+
 task<void> upstream_service::announceDrain() {
   std::vector<std::string> Draining{Node.Settings.RpcAddress};
   co_await notifyPeers({}, Draining);
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -47,6 +47,9 @@
   void applyNotice(const std::vector<retry::crash_report> &Reports,
                    const std::vector<std::string> &Draining);
 
+  /// Keeps this node's own calls from choosing it as their upstream.
+  void excludeSelf();
+
   /// Tells the service's nodes that this one leaves.
   task<void> announceDrain();
 
--- a/src/retry/budget.h
+++ b/src/retry/budget.h
@@ -52,17 +52,17 @@
 /// Takes one extra try, if any is left.
 bool takeTry(tree_budget &Budget);
 
-/// A token bucket filled by first tries: retries are at most Ratio of them
-/// plus a small burst for services with little traffic.
-struct retry_allowance {
-  double Tokens = 0.0;
-};
-
 /// Tokens that one first try adds; 1.1 tries for each first try at most.
 inline constexpr double AllowanceRatio = 0.1;
-/// Most tokens that a bucket holds.
+/// Most tokens that a bucket holds, and those it starts with.
 inline constexpr double AllowanceBurst = 10.0;
 
+/// A token bucket filled by first tries: retries are at most a share of them
+/// plus a small burst for services with little traffic.
+struct retry_allowance {
+  double Tokens = AllowanceBurst;
+};
+
 void countFirstTry(retry_allowance &Allowance);
 
 /// Takes the token of one retry, if there is one.
--- a/standins/backendserver.cpp
+++ b/standins/backendserver.cpp
@@ -1,5 +1,7 @@
 #include "standins/backendserver.h"
 
+#include "framework/peerstate.h"
+
 #include <kj/debug.h>
 
 namespace figplank::standins {
@@ -25,6 +27,28 @@
 
 } // namespace
 
+class backend_server::connection_service final : public kj::HttpService {
+public:
+  connection_service(backend_server &Server, kj::AsyncIoStream &Stream)
+      : Server(Server), Stream(Stream) {}
+
+  kj::Promise<void> request(kj::HttpMethod Method, kj::StringPtr Url,
+                            const kj::HttpHeaders &Received,
+                            kj::AsyncInputStream &Body,
+                            Response &Reply) override {
+    kj::Promise<void> Gone = framework::awaitPeerClosed(
+        Stream, Server.Loop.io().provider->getTimer());
+    return Server.request(Method, Url, Received, Body, Reply)
+        .exclusiveJoin(Gone.then([]() -> kj::Promise<void> {
+          return KJ_EXCEPTION(DISCONNECTED, "the caller has left");
+        }));
+  }
+
+private:
+  backend_server &Server;
+  kj::AsyncIoStream &Stream;
+};
+
 std::size_t execution_log::add(execution_record Record) {
   std::lock_guard<std::mutex> Lock(Mutex);
   Records.push_back(std::move(Record));
@@ -92,8 +116,12 @@
 void backend_server::open() {
   kj::HttpServerSettings HttpSettings;
   HttpSettings.pipelineTimeout = 30 * kj::SECONDS;
-  Server = kj::heap<kj::HttpServer>(Loop.io().provider->getTimer(), *Table,
-                                    *this, HttpSettings);
+  Server = kj::heap<kj::HttpServer>(
+      Loop.io().provider->getTimer(), *Table,
+      [this](kj::AsyncIoStream &Stream) -> kj::Own<kj::HttpService> {
+        return kj::heap<connection_service>(*this, Stream);
+      },
+      HttpSettings);
   Listening =
       Server->listenHttp(*Port).eagerlyEvaluate([](kj::Exception &&) {});
 }
--- a/standins/backendserver.h
+++ b/standins/backendserver.h
@@ -107,6 +107,9 @@
                             Response &Reply) override;
 
 private:
+  /// Serves one connection; a caller that closes it cancels its request.
+  class connection_service;
+
   struct received_call {
     std::string Path;
     std::string Context;
