--- /dev/null
+++ b/examples/embedding.cpp
@@ -0,0 +1,33 @@
+// Embeds the admission decisions in a program of one's own: no daemon, no
+// thread, no clock but the one that is passed in.
+
+#include "admission/concurrencylimit.h"
+#include "admission/sharecontroller.h"
+
+#include <cstdio>
+
+int main() {
+  using namespace figplank;
+  framework::monotonic_time Now{};
+  admission::limit_settings LimitSettings;
+  LimitSettings.Slots = 10;
+  admission::concurrency_limit Limit =
+      admission::startLimit(LimitSettings, Now);
+  admission::share_controller Shares = admission::startShares({}, Now);
+
+  // Two organisations offer 300 and 100 requests a second of 0.1 s each to a
+  // server that carries 100.
+  for (int Window = 0; Window < 50; ++Window) {
+    admission::recordArrival(Shares, 2, "large", 30, 0.1);
+    admission::recordArrival(Shares, 2, "small", 10, 0.1);
+    Now += framework::milliseconds(100);
+    admission::advanceShares(Shares, {10.0, framework::microseconds(0)}, {},
+                             Now);
+  }
+  double Large = 300 * admission::shareOf(Shares, 2, "large");
+  double Small = 100 * admission::shareOf(Shares, 2, "small");
+  std::printf("limit=%.1f large=%.0f/s small=%.0f/s\n", Limit.Limit, Large,
+              Small);
+  bool Equal = Large > 0.9 * Small && Large < 1.1 * Small;
+  return Equal ? 0 : 1;
+}
--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -61,8 +61,18 @@
   Limit.Limit = std::min(Limit.Limit, coldLimit(Limit.Settings));
 }
 
-bool hasRoom(const concurrency_limit &Limit) {
-  return Limit.InFlight + 1 <= Limit.Limit;
+void reserveFor(concurrency_limit &Limit, std::uint8_t Rank) {
+  // Too few slots leave none to spare.
+  constexpr double LeastLimitWithReserve = 4.0;
+  constexpr double ReservedFraction = 0.05;
+  bool Enough = Limit.Limit >= LeastLimitWithReserve;
+  Limit.Reserved = Enough ? std::max(1.0, ReservedFraction * Limit.Limit) : 0.0;
+  Limit.ReservedFor = Rank;
+}
+
+bool hasRoom(const concurrency_limit &Limit, std::uint8_t Rank) {
+  double Open = Limit.Limit - (Rank > Limit.ReservedFor ? Limit.Reserved : 0.0);
+  return Limit.InFlight + 1 <= Open;
 }
 
 void startRun(concurrency_limit &Limit) {
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -41,6 +41,10 @@
   limit_settings Settings;
   double Limit = 1.0;
   std::uint32_t InFlight = 0;
+  /// Slots that only ranks up to ReservedFor may take, so that urgent work
+  /// need not wait for a run of less urgent work to end (trunk reservation).
+  double Reserved = 0.0;
+  std::uint8_t ReservedFor = 0;
   /// Since the window began.
   std::uint32_t MostInFlight = 0;
   std::uint32_t Completed = 0;
@@ -61,7 +65,11 @@
 /// Begins again from the cold fraction: the backend server was replaced.
 void restartCold(concurrency_limit &Limit);
 
-bool hasRoom(const concurrency_limit &Limit);
+/// Keeps slots free for \p Rank and more urgent ones.
+void reserveFor(concurrency_limit &Limit, std::uint8_t Rank);
+
+/// Whether a request of \p Rank may start.
+bool hasRoom(const concurrency_limit &Limit, std::uint8_t Rank);
 
 void startRun(concurrency_limit &Limit);
 
--- a/src/admission/sharecontroller.cpp
+++ b/src/admission/sharecontroller.cpp
@@ -66,6 +66,19 @@
   return Controller;
 }
 
+std::uint8_t mostUrgentRank(const share_controller &Controller) {
+  // Slot-seconds per second below which a rank counts as idle.
+  constexpr double LeastDemand = 0.01;
+  for (std::uint8_t Rank = 0; Rank < RankCount; ++Rank) {
+    for (const auto &[Organisation, Row] : Controller.Rows[Rank]) {
+      if (Row.Demand >= LeastDemand) {
+        return Rank;
+      }
+    }
+  }
+  return RankCount;
+}
+
 void recordArrival(share_controller &Controller, std::uint8_t Rank,
                    std::string_view Organisation, double Weight,
                    double ServiceSeconds) {
@@ -101,7 +114,11 @@
   smoothDemands(Controller, Seconds);
   correct(Controller, Measure);
   rank_demands Demands = listDemands(Controller);
-  allocate(Demands, MinimumShares, Measure.Limit * Controller.Correction);
+  std::array<double, RankCount> Floors = MinimumShares;
+  for (double &Floor : Floors) {
+    Floor *= Controller.Settings.FloorMargin;
+  }
+  allocate(Demands, Floors, Measure.Limit * Controller.Correction);
   takeShares(Controller, Demands);
   Controller.WindowStart = Now;
   return true;
--- a/src/admission/sharecontroller.h
+++ b/src/admission/sharecontroller.h
@@ -22,6 +22,9 @@
   double IncreaseFactor = 1.01;
   double LeastCorrection = 0.5;
   double MostCorrection = 1.3;
+  /// Room above a minimum share for what the chain loses between admission
+  /// and the whole answer.
+  double FloorMargin = 1.5;
   /// Organisations without demand are forgotten below this demand.
   double ForgetBelow = 1e-4;
   /// Organisations kept per rank; others share one row.
@@ -58,6 +61,9 @@
 share_controller startShares(const share_settings &Settings,
                              framework::monotonic_time Now);
 
+/// The most urgent rank with demand, RankCount if there is none.
+std::uint8_t mostUrgentRank(const share_controller &Controller);
+
 /// Counts an arrival that stands for \p Weight requests of
 /// \p ServiceSeconds each.
 void recordArrival(share_controller &Controller, std::uint8_t Rank,
--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -57,28 +57,42 @@
   return 0;
 }
 
-/// The rank whose turn it is; the queue is not empty.
-std::size_t nextRank(work_queue &Queue,
-                     const std::array<double, RankCount> &MinimumShares) {
-  std::size_t Chosen = RankCount;
+/// Dispatches that a waiting rank collects for each one of another rank, in
+/// terms of its minimum share. Admission already bounds how much of the rank
+/// comes in; what was admitted should not wait behind more urgent work until
+/// its deadline has passed.
+constexpr double CreditPerShare = 3.0;
+constexpr double MaxCredit = 2.0;
+
+/// Settles the credits after a dispatch of rank \p Served.
+void settleCredits(work_queue &Queue, std::size_t Served,
+                   const std::array<double, RankCount> &MinimumShares) {
   for (std::size_t Rank = 0; Rank < RankCount; ++Rank) {
     rank_queue &Ranked = Queue.Ranks[Rank];
-    if (Ranked.Size == 0) {
+    if (Rank == Served) {
+      Ranked.Credit = std::max(0.0, Ranked.Credit - 1.0);
+    } else if (Ranked.Size == 0) {
       Ranked.Credit = 0.0;
-      continue;
-    }
-    Ranked.Credit = std::min(Ranked.Credit + MinimumShares[Rank], 2.0);
-    if (Chosen == RankCount) {
-      Chosen = Rank;
+    } else {
+      double More = Ranked.Credit + CreditPerShare * MinimumShares[Rank];
+      Ranked.Credit = std::min(More, MaxCredit);
     }
   }
+}
+
+/// The rank whose turn it is: one that has collected a dispatch, or the most
+/// urgent one up to \p LastRank. RankCount if there is none.
+std::size_t nextRank(work_queue &Queue, std::size_t LastRank) {
+  std::size_t Chosen = RankCount;
+  for (std::size_t Rank = RankCount; Rank-- > 0;) {
+    bool Waits = Queue.Ranks[Rank].Size > 0;
+    Chosen = Waits && Rank <= LastRank ? Rank : Chosen;
+  }
   for (std::size_t Rank = 0; Rank < RankCount; ++Rank) {
     if (Queue.Ranks[Rank].Size > 0 && Queue.Ranks[Rank].Credit >= 1.0) {
-      Chosen = Rank;
-      break;
+      return Rank;
     }
   }
-  Queue.Ranks[Chosen].Credit = std::max(0.0, Queue.Ranks[Chosen].Credit - 1.0);
   return Chosen;
 }
 
@@ -135,13 +149,18 @@
 
 dequeued_work dequeue(work_queue &Queue,
                       const std::array<double, RankCount> &MinimumShares,
-                      monotonic_time Now) {
+                      std::uint8_t LastRank, monotonic_time Now) {
   dequeued_work Result;
   while (Queue.Size > 0) {
-    queued_work Work = takeFrom(Queue, nextRank(Queue, MinimumShares), Now);
+    std::size_t Rank = nextRank(Queue, LastRank);
+    if (Rank == RankCount) {
+      break;
+    }
+    queued_work Work = takeFrom(Queue, Rank, Now);
+    settleCredits(Queue, Rank, MinimumShares);
     if (Now + Work.ServiceTime <= Work.Deadline) {
       Result.Next = std::move(Work);
-      return Result;
+      break;
     }
     Result.Dropped.push_back(
         {Work.Ticket, Now >= Work.Deadline
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -81,10 +81,11 @@
   std::vector<dropped_work> Dropped;
 };
 
-/// Takes the next request that can still meet its deadline.
+/// Takes the next request that can still meet its deadline: of rank
+/// \p LastRank or more urgent, or of a rank that has collected a dispatch.
 dequeued_work dequeue(work_queue &Queue,
                       const std::array<double, RankCount> &MinimumShares,
-                      framework::monotonic_time Now);
+                      std::uint8_t LastRank, framework::monotonic_time Now);
 
 /// Removes a request whose caller has gone. Returns whether it waited.
 bool removeTicket(work_queue &Queue, std::uint64_t Ticket);
--- /dev/null
+++ b/src/cli/commands.cpp
@@ -0,0 +1,190 @@
+#include "cli/commands.h"
+
+#include "client/caller.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <httplib.h>
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace figplank::cli {
+namespace {
+
+namespace leaf = boost::leaf;
+using framework::outcome;
+using nlohmann::json;
+
+constexpr int StatusTimeoutSeconds = 3;
+
+leaf::result<json> fetchStatus(const std::string &Address) {
+  httplib::Client Client("http://" + Address);
+  Client.set_connection_timeout(StatusTimeoutSeconds);
+  Client.set_read_timeout(StatusTimeoutSeconds);
+  auto Result = Client.Get("/status");
+  if (!Result) {
+    return leaf::new_error(cli_error{cli_errc::NodeUnreachable, Address});
+  }
+  json Status = json::parse(Result->body, nullptr, false);
+  if (Result->status != 200 || !Status.is_object()) {
+    return leaf::new_error(cli_error{cli_errc::BadAnswer, Address});
+  }
+  return Status;
+}
+
+int reportError(const cli_error &Error) {
+  std::fprintf(stderr, "%s\n", describe(Error).c_str());
+  return Unreachable;
+}
+
+json asJson(const framework::findings &Findings) {
+  json List = json::array();
+  for (const framework::finding &Finding : Findings) {
+    List.push_back({{"place", Finding.Place},
+                    {"value", Finding.Value},
+                    {"problem", Finding.Problem}});
+  }
+  return List;
+}
+
+void printStatus(const json &Status) {
+  for (const auto &Row : Status.items()) {
+    if (Row.value().is_primitive()) {
+      std::printf("%-18s %s\n", Row.key().c_str(), Row.value().dump().c_str());
+    }
+  }
+  for (const json &Refused : Status.value("refused_entries", json::array())) {
+    std::printf("refused            %s\n", Refused.dump().c_str());
+  }
+  std::printf("refusals           %s\n",
+              Status.value("refusals", json::object()).dump().c_str());
+  for (const json &Upstream : Status.value("upstreams", json::array())) {
+    std::printf("upstream           %s\n", Upstream.dump().c_str());
+  }
+}
+
+int exitCodeOf(outcome Outcome) {
+  switch (Outcome) {
+  case outcome::Completed:
+    return Success;
+  case outcome::NotRun:
+    return Refused;
+  case outcome::Unknown:
+    break;
+  }
+  return OutcomeUnknown;
+}
+
+} // namespace
+
+std::string describe(const cli_error &Error) {
+  switch (Error.Code) {
+  case cli_errc::CannotReadFile:
+    return Error.Place + ": cannot be read";
+  case cli_errc::NotJson:
+    return Error.Place + ": is not a JSON object of keys and values";
+  case cli_errc::NodeUnreachable:
+    return Error.Place + ": does not answer";
+  case cli_errc::BadAnswer:
+    return Error.Place + ": answered something that is not a status";
+  }
+  return Error.Place;
+}
+
+leaf::result<json> readDocument(const std::string &File) {
+  std::ifstream Stream(File);
+  if (!Stream) {
+    return leaf::new_error(cli_error{cli_errc::CannotReadFile, File});
+  }
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  json Document = json::parse(Text.str(), nullptr, false);
+  if (!Document.is_object()) {
+    return leaf::new_error(cli_error{cli_errc::NotJson, File});
+  }
+  return Document;
+}
+
+framework::findings checkDocument(const std::string &File,
+                                  const json &Document) {
+  framework::findings All;
+  for (const auto &Entry : Document.items()) {
+    configuration::validation_result Checked =
+        configuration::validateValue(Entry.key(), Entry.value().dump());
+    for (framework::finding &Finding : Checked.Findings) {
+      Finding.Place = File + ": " + Finding.Place;
+      All.push_back(std::move(Finding));
+    }
+  }
+  return All;
+}
+
+int runCheck(const std::vector<std::string> &Files, bool AsJson) {
+  framework::findings All;
+  for (const std::string &File : Files) {
+    int Code = leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+          BOOST_LEAF_AUTO(Document, readDocument(File));
+          framework::findings Found = checkDocument(File, Document);
+          All.insert(All.end(), Found.begin(), Found.end());
+          return int{Success};
+        },
+        [](const cli_error &Error) { return reportError(Error); },
+        []() { return int{Unreachable}; });
+    if (Code != Success) {
+      return Code;
+    }
+  }
+  if (AsJson) {
+    std::printf("%s\n", asJson(All).dump(2).c_str());
+  } else {
+    std::fputs(framework::formatFindings(All).c_str(), stdout);
+    std::printf("%zu files, %zu findings\n", Files.size(), All.size());
+  }
+  return All.empty() ? Success : Refused;
+}
+
+int runStatus(const std::string &Address, bool AsJson) {
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(Status, fetchStatus(Address));
+        if (AsJson) {
+          std::printf("%s\n", Status.dump(2).c_str());
+        } else {
+          printStatus(Status);
+        }
+        return int{Success};
+      },
+      [](const cli_error &Error) { return reportError(Error); },
+      []() { return int{Unreachable}; });
+}
+
+int runCall(const call_arguments &Arguments, bool AsJson) {
+  client::call_request Request;
+  Request.Template = Arguments.Template;
+  Request.Organisation = Arguments.Organisation;
+  Request.Body = Arguments.Body;
+  Request.Key = Arguments.Key;
+  Request.Deadline = framework::milliseconds(Arguments.DeadlineMs);
+  Request.MaxAttempts = Arguments.MaxAttempts;
+  client::call_answer Answer = client::callThrough({Arguments.Entry}, Request);
+  std::string Outcome(framework::nameOf(Answer.Outcome));
+  if (AsJson) {
+    json Printed{{"outcome", Outcome},      {"reason", Answer.Reason},
+                 {"status", Answer.Status}, {"key", Answer.Key},
+                 {"body", Answer.Body},     {"attempts", Answer.Attempts}};
+    std::printf(
+        "%s\n",
+        Printed.dump(2, ' ', false, json::error_handler_t::replace).c_str());
+  } else {
+    std::fprintf(stderr, "outcome=%s reason=%s status=%u key=%s attempts=%u\n",
+                 Outcome.c_str(), Answer.Reason.c_str(), Answer.Status,
+                 Answer.Key.c_str(), Answer.Attempts);
+    std::fputs(Answer.Body.c_str(), stdout);
+    std::fputs("\n", stdout);
+  }
+  return exitCodeOf(Answer.Outcome);
+}
+
+} // namespace figplank::cli
--- /dev/null
+++ b/src/client/caller.cpp
@@ -0,0 +1,116 @@
+#include "client/caller.h"
+
+#include "execution/requestid.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+#include <thread>
+
+namespace figplank::client {
+namespace {
+
+using framework::milliseconds;
+using framework::outcome;
+
+constexpr milliseconds LeastPause{50};
+
+std::string makeKey() {
+  static thread_local std::mt19937_64 Random(std::random_device{}());
+  return execution::formatRequestId(execution::makeRequestId(
+      framework::readClocks().Wall, Random(), Random()));
+}
+
+milliseconds readMilliseconds(const std::string &Text) {
+  std::int64_t Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return milliseconds(Number);
+}
+
+call_answer readAnswer(const httplib::Response &Response) {
+  call_answer Answer;
+  Answer.Status = static_cast<unsigned>(Response.status);
+  Answer.Body = Response.body;
+  Answer.Reason = Response.get_header_value("Figplank-Reason");
+  Answer.RetryAfter =
+      readMilliseconds(Response.get_header_value("Figplank-Retry-After-Ms"));
+  auto Outcome = framework::valueOf(
+      framework::OutcomeNames, Response.get_header_value("Figplank-Outcome"));
+  Answer.Outcome = Outcome.value_or(outcome::Unknown);
+  return Answer;
+}
+
+call_answer sendOnce(const std::string &Entry, const call_request &Request,
+                     const std::string &Key, unsigned Attempt,
+                     milliseconds Remaining) {
+  httplib::Client Client("http://" + Entry);
+  Client.set_tcp_nodelay(true);
+  Client.set_connection_timeout(Remaining);
+  // The node answers by the deadline; the rest is for the way back.
+  Client.set_read_timeout(Remaining + milliseconds(500));
+  httplib::Headers Headers{
+      {"Figplank-Organisation", Request.Organisation},
+      {"Figplank-Deadline-Ms", std::to_string(Remaining.count())},
+      {"Figplank-Attempt", std::to_string(Attempt)},
+      {"Idempotency-Key", Key}};
+  std::string Path = "/work/" + Request.Template;
+  auto Result = Client.Post(Path.c_str(), Headers, Request.Body,
+                            Request.ContentType.c_str());
+  call_answer Answer;
+  if (Result) {
+    Answer = readAnswer(*Result);
+  } else {
+    Answer.Reason = "entry_unreachable";
+  }
+  Answer.Key = Key;
+  Answer.Attempts = Attempt;
+  return Answer;
+}
+
+} // namespace
+
+next_step decideNextStep(const call_answer &Answer, unsigned Attempt,
+                         unsigned MaxAttempts, milliseconds Remaining) {
+  constexpr unsigned LastClientError = 499;
+  constexpr unsigned FirstClientError = 400;
+  bool CallersFault =
+      Answer.Status >= FirstClientError && Answer.Status <= LastClientError;
+  milliseconds Pause = std::max(Answer.RetryAfter, LeastPause);
+  if (Answer.Outcome == outcome::Completed || CallersFault ||
+      Attempt >= MaxAttempts || Pause >= Remaining) {
+    return next_step::Stop;
+  }
+  return Answer.Outcome == outcome::NotRun ? next_step::SendNewKey
+                                           : next_step::SendSameKey;
+}
+
+call_answer callThrough(const std::vector<std::string> &Entries,
+                        const call_request &Request) {
+  auto End = framework::readClocks().Monotonic + Request.Deadline;
+  std::string Key = Request.Key.empty() ? makeKey() : Request.Key;
+  call_answer Answer;
+  for (unsigned Attempt = 1;; ++Attempt) {
+    auto Remaining = std::chrono::duration_cast<milliseconds>(
+        End - framework::readClocks().Monotonic);
+    if (Remaining.count() <= 0 || Entries.empty()) {
+      return Answer;
+    }
+    const std::string &Entry = Entries[(Attempt - 1) % Entries.size()];
+    Answer = sendOnce(Entry, Request, Key, Attempt, Remaining);
+    Remaining = std::chrono::duration_cast<milliseconds>(
+        End - framework::readClocks().Monotonic);
+    next_step Step =
+        decideNextStep(Answer, Attempt, Request.MaxAttempts, Remaining);
+    if (Step == next_step::Stop) {
+      return Answer;
+    }
+    if (Step == next_step::SendNewKey) {
+      Key = makeKey();
+    }
+    std::this_thread::sleep_for(std::max(Answer.RetryAfter, LeastPause));
+  }
+}
+
+} // namespace figplank::client
--- a/src/framework/coroutine.h
+++ b/src/framework/coroutine.h
@@ -39,6 +39,8 @@
 
 } // namespace figplank::framework
 
+// The language names the members that a coroutine's promise must have.
+// NOLINTBEGIN(readability-identifier-naming)
 namespace figplank::framework::detail {
 
 /// Owns the frame of a coroutine on behalf of the promise it returned.
@@ -180,6 +182,7 @@
 };
 
 } // namespace figplank::framework::detail
+// NOLINTEND(readability-identifier-naming)
 
 template <typename Value, typename... Arguments>
 struct std::coroutine_traits<figplank::framework::task<Value>, Arguments...> {
--- a/src/node/admin.cpp
+++ b/src/node/admin.cpp
@@ -88,7 +88,7 @@
 }
 
 admin_server::admin_server(const node_runtime &Node, mailbox &Mailbox,
-                           std::function<std::string()> Status)
+                           const std::function<std::string()> &Status)
     : Server(std::make_unique<httplib::Server>()) {
   Server->new_task_queue = []() {
     return new httplib::ThreadPool(AdminThreads);
@@ -113,7 +113,7 @@
   const std::string &Address = Node.Settings.AdminAddress;
   std::size_t Colon = Address.rfind(':');
   int Port = std::stoi(Address.substr(Colon + 1));
-  if (!Server->bind_to_port(Address.substr(0, Colon).c_str(), Port)) {
+  if (!Server->bind_to_port(Address.substr(0, Colon), Port)) {
     throw std::runtime_error("cannot bind the admin address " + Address);
   }
   Thread = std::thread([this]() { Server->listen_after_bind(); });
--- a/src/node/admin.h
+++ b/src/node/admin.h
@@ -26,7 +26,7 @@
 public:
   /// \p Status is called on the event loop.
   admin_server(const node_runtime &Node, mailbox &Mailbox,
-               std::function<std::string()> Status);
+               const std::function<std::string()> &Status);
   ~admin_server();
   admin_server(const admin_server &) = delete;
   admin_server &operator=(const admin_server &) = delete;
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -16,6 +16,8 @@
 using framework::monotonic_time;
 using framework::readClocks;
 
+/// Requests that may wait whatever the number of slots.
+constexpr std::size_t LeastQueue = 16;
 /// How often a node considers whether it is a reader.
 constexpr milliseconds ChoiceInterval{500};
 
@@ -100,9 +102,11 @@
   if (Service == Node.Store.Catalog.Services.end()) {
     return;
   }
+  Node.MinimumShares =
+      configuration::minimumShares(Node.Store.Catalog, Node.Settings.Service);
   admission::setSlots(Node.Limit, Service->second.Slots);
   Node.Queue.Settings.MaxQueued =
-      std::max<std::size_t>(16, 2 * Service->second.Slots);
+      std::max(LeastQueue, std::size_t{2} * Service->second.Slots);
   bool Changed = Node.Home.Roster != Service->second.Roster ||
                  Node.Home.Previous != Service->second.Previous;
   if (Changed) {
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -29,7 +29,7 @@
   /// Part of the exchanges that go to any zone.
   double FarFraction = 0.25;
   /// Most bytes of entries in one exchange.
-  std::size_t MaxExchangeBytes = 256 * 1024;
+  std::size_t MaxExchangeBytes = std::size_t{256} * 1024;
   /// Revisions that a new reader asks for again, to find missed ones.
   std::uint64_t ReadBack = 1'000;
   /// Time after the start in which both platform and peers are waited for.
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -66,7 +66,7 @@
   Client->set_keep_alive(true);
   Client->set_tcp_nodelay(true);
   if (!SourceIp.empty()) {
-    Client->set_interface(SourceIp.c_str());
+    Client->set_interface(SourceIp);
   }
   Thread = std::thread([this]() { loop(); });
 }
@@ -107,7 +107,7 @@
   }
   std::string Path = "/v1/watch?after=" + std::to_string(After) +
                      "&wait_ms=" + std::to_string(WatchMilliseconds);
-  auto Result = Client->Get(Path.c_str());
+  auto Result = Client->Get(Path);
   platform_news News;
   if (!Result || Result->status != 200) {
     return News;
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -30,12 +30,6 @@
                       {{"error", Exception.getDescription().cStr()}});
 }
 
-std::array<double, configuration::RankCount>
-ownMinimumShares(const node_runtime &Node) {
-  return configuration::minimumShares(Node.Store.Catalog,
-                                      Node.Settings.Service);
-}
-
 routing::reported_load ownLoad(const node_runtime &Node) {
   routing::reported_load Load;
   Load.Limit = Node.Limit.Limit;
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -57,6 +57,8 @@
   /// The least of them for each template that the own backend server runs.
   admission::chain_shares ChildShares;
   admission::work_queue Queue;
+  /// Minimum shares of the ranks at the own backend server.
+  std::array<double, configuration::RankCount> MinimumShares{};
   retry::suspect_table Suspects;
   /// By service.
   configuration::text_map<retry::retry_allowance> Allowances;
@@ -74,10 +76,6 @@
   void taskFailed(kj::Exception &&Exception) override;
 };
 
-/// Minimum shares of the ranks at this node's backend server.
-std::array<double, configuration::RankCount>
-ownMinimumShares(const node_runtime &Node);
-
 /// The load to report on answers.
 routing::reported_load ownLoad(const node_runtime &Node);
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -14,6 +14,7 @@
 std::vector<std::string>
 namesIn(const std::array<framework::enum_name<Enum>, Size> &Table) {
   std::vector<std::string> Names;
+  Names.reserve(Size);
   for (const framework::enum_name<Enum> &Row : Table) {
     Names.emplace_back(Row.Name);
   }
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -309,7 +309,8 @@
 task<refusal_reason> upstream_service::awaitTurn(queue_turn &Turn,
                                                  const work_request &Request) {
   bool Unlimited = Node.Settings.Admission == admission_mode::None;
-  if (Unlimited || (Node.Queue.Size == 0 && admission::hasRoom(Node.Limit))) {
+  if (Unlimited ||
+      (Node.Queue.Size == 0 && admission::hasRoom(Node.Limit, Request.Rank))) {
     admission::startRun(Node.Limit);
     Turn.Granted = true;
     recordWait(framework::microseconds(0));
@@ -325,9 +326,9 @@
       {Turn.Ticket, Request.Rank, Request.Organisation, Request.Depth, Now,
        Request.Deadline, serviceTime(Request.Template)});
   if (Dropped) {
-    Turns[Dropped->Ticket]->Queued = false;
-    Turns[Dropped->Ticket]->Fulfiller->fulfill(kj::cp(Dropped->Reason));
+    drop(*Dropped);
   }
+  pump();
   refusal_reason Overdue = refusal_reason::DeadlinePassed;
   kj::Promise<refusal_reason> Late =
       Node.Timer.afterDelay(toDuration(Request.Deadline - Now))
@@ -340,21 +341,41 @@
   co_return Reason;
 }
 
+std::optional<std::uint8_t> upstream_service::lastRankWithRoom() const {
+  constexpr std::uint8_t LeastUrgent = configuration::RankCount - 1;
+  if (admission::hasRoom(Node.Limit, LeastUrgent)) {
+    return LeastUrgent;
+  }
+  if (admission::hasRoom(Node.Limit, Node.Limit.ReservedFor)) {
+    return Node.Limit.ReservedFor;
+  }
+  return std::nullopt;
+}
+
+void upstream_service::drop(const admission::dropped_work &Dropped) {
+  queue_turn *Turn = Turns[Dropped.Ticket];
+  Turn->Queued = false;
+  Turn->Fulfiller->fulfill(kj::cp(Dropped.Reason));
+}
+
 void upstream_service::pump() {
-  while (Node.Queue.Size > 0 && admission::hasRoom(Node.Limit)) {
+  while (Node.Queue.Size > 0) {
+    auto LastRank = lastRankWithRoom();
+    if (!LastRank) {
+      return;
+    }
     admission::dequeued_work Found = admission::dequeue(
-        Node.Queue, ownMinimumShares(Node), readClocks().Monotonic);
+        Node.Queue, Node.MinimumShares, *LastRank, readClocks().Monotonic);
     for (const admission::dropped_work &Dropped : Found.Dropped) {
-      queue_turn *Turn = Turns[Dropped.Ticket];
-      Turn->Queued = false;
-      Turn->Fulfiller->fulfill(kj::cp(Dropped.Reason));
+      drop(Dropped);
     }
-    if (Found.Next) {
-      queue_turn *Turn = Turns[Found.Next->Ticket];
-      admission::startRun(Node.Limit);
-      Turn->Granted = true;
-      Turn->Fulfiller->fulfill(refusal_reason::None);
+    if (!Found.Next) {
+      return;
     }
+    queue_turn *Turn = Turns[Found.Next->Ticket];
+    admission::startRun(Node.Limit);
+    Turn->Granted = true;
+    Turn->Fulfiller->fulfill(refusal_reason::None);
   }
 }
 
@@ -571,8 +592,9 @@
   admission::advanceLimit(Node.Limit, Now);
   admission::window_measure Measure{
       Node.Limit.Limit, ShortestWait.value_or(framework::microseconds(0))};
-  if (admission::advanceShares(Node.Shares, Measure, ownMinimumShares(Node),
-                               Now)) {
+  if (admission::advanceShares(Node.Shares, Measure, Node.MinimumShares, Now)) {
+    std::uint8_t Urgent = admission::mostUrgentRank(Node.Shares);
+    admission::reserveFor(Node.Limit, Urgent);
     ShortestWait.reset();
     LongestWait = framework::microseconds(0);
   }
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -89,6 +89,9 @@
   task<void> notifyPeer(std::string Address,
                         std::vector<retry::crash_report> Reports,
                         std::vector<std::string> Draining);
+  /// The least urgent rank that may start a request now.
+  std::optional<std::uint8_t> lastRankWithRoom() const;
+  void drop(const admission::dropped_work &Dropped);
   void pump();
   void completeAnswer(work_answer &Answer, const work_request &Request);
   framework::microseconds serviceTime(const std::string &Template) const;
--- a/standins/fleet.cpp
+++ b/standins/fleet.cpp
@@ -190,6 +190,7 @@
   Arguments.insert(Arguments.end(), Spec.NodeFlags.begin(),
                    Spec.NodeFlags.end());
   std::vector<char *> Pointers;
+  Pointers.reserve(Arguments.size() + 1);
   for (std::string &Argument : Arguments) {
     Pointers.push_back(Argument.data());
   }
