--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -41,6 +41,8 @@
      figplank::bench::benchRecovery},
     {"retries", "the last service of a chain fails",
      figplank::bench::benchRetries},
+    {"round", "delivery rounds of three times the capacity",
+     figplank::bench::benchRound},
     {"cold", "a backend server starts cold under load",
      figplank::bench::benchCold},
 };
--- a/bench/once.cpp
+++ b/bench/once.cpp
@@ -86,10 +86,14 @@
   }
   nlohmann::json Fewer = All;
   Fewer.erase(Random() % Fewer.size());
-  nlohmann::json Value{{"slots", 20}, {"roster", Fewer}, {"previous", All}};
+  nlohmann::json Value{{"slots", 20},
+                       {"roster", Fewer},
+                       {"previous", nlohmann::json::array({All})}};
   Fleet.Platform->publish("services/ledger", Value.dump());
   std::this_thread::sleep_for(milliseconds(1'500));
-  Value = {{"slots", 20}, {"roster", All}, {"previous", Fewer}};
+  Value = {{"slots", 20},
+           {"roster", All},
+           {"previous", nlohmann::json::array({Fewer, All})}};
   Fleet.Platform->publish("services/ledger", Value.dump());
   std::this_thread::sleep_for(milliseconds(1'500));
   Fleet.publishService("ledger");
--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <httplib.h>
+#include <map>
 #include <thread>
 
 namespace figplank::bench {
@@ -245,4 +247,63 @@
                           0.01, bound::AtMost}});
 }
 
+int benchRound() {
+  constexpr int BatchSize = 20;
+  constexpr double Seconds = 5.0;
+  constexpr int Batches =
+      static_cast<int>(3 * ChainCapacity * Seconds / BatchSize);
+  standins::fleet Fleet(chainFleet("coordinated"));
+  if (!Fleet.awaitReady()) {
+    std::printf("the fleet did not become ready\n");
+    return 1;
+  }
+  standins::load_generator Callers(Fleet.entries());
+  std::vector<std::thread> Threads;
+  std::vector<std::string> Outcomes(Batches);
+  for (int Batch = 0; Batch < Batches; ++Batch) {
+    Threads.emplace_back([&, Batch]() {
+      std::this_thread::sleep_for(std::chrono::microseconds(
+          static_cast<std::int64_t>(1e6 * Seconds * Batch / Batches)));
+      nlohmann::json Body{{"requests", nlohmann::json::array()}};
+      for (int I = 0; I < BatchSize; ++I) {
+        Body["requests"].push_back("round" + std::to_string(Batch) + ".");
+      }
+      const std::vector<std::string> Entries = Fleet.entries();
+      httplib::Client Client(
+          "http://" +
+          Entries[static_cast<std::size_t>(Batch) % Entries.size()]);
+      Client.set_read_timeout(30);
+      auto Result =
+          Client.Post("/round/grid", {{"Figplank-Organisation", "alpha"}},
+                      Body.dump(), "application/json");
+      Outcomes[static_cast<std::size_t>(Batch)] =
+          Result ? Result->get_header_value("Figplank-Outcome") : "none";
+    });
+  }
+  for (std::thread &Thread : Threads) {
+    Thread.join();
+  }
+  std::map<std::string, int> Started;
+  for (const standins::execution_record &Record : Fleet.Log.records()) {
+    ++Started[Record.Body.substr(0, Record.Body.find('.'))];
+  }
+  int Whole = 0;
+  int Refused = 0;
+  int Half = 0;
+  for (int Batch = 0; Batch < Batches; ++Batch) {
+    const std::string &Outcome = Outcomes[static_cast<std::size_t>(Batch)];
+    bool Touched = Started.count("round" + std::to_string(Batch)) > 0;
+    Whole += Outcome == "completed" ? 1 : 0;
+    Refused += Outcome == "not_run" && !Touched ? 1 : 0;
+    Half += Outcome != "completed" && (Outcome != "not_run" || Touched) ? 1 : 0;
+  }
+  std::printf("%d batches of %d: %d whole, %d refused, %d half-finished\n",
+              Batches, BatchSize, Whole, Refused, Half);
+  return report(
+      "round",
+      {{"half-finished batches", static_cast<double>(Half), 0.0, bound::AtMost},
+       {"whole part of what the capacity carries",
+        Whole * BatchSize / (ChainCapacity * Seconds), 0.5, bound::AtLeast}});
+}
+
 } // namespace figplank::bench
--- a/bench/overload.h
+++ b/bench/overload.h
@@ -12,5 +12,6 @@
 int benchRecovery();
 int benchRetries();
 int benchCold();
+int benchRound();
 
 } // namespace figplank::bench
--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -33,7 +33,10 @@
     Service.Name = Name;
     Service.Upstreams = 1;
     Service.Slots = 200;
-    Service.Paths["/read"].ServiceTime = std::chrono::microseconds(0);
+    // Direct calls use the path that callers send to a node.
+    for (const char *Path : {"/read", "/work/read"}) {
+      Service.Paths[Path].ServiceTime = std::chrono::microseconds(0);
+    }
     Spec.Services.push_back(Service);
   }
   standins::template_spec Template;
--- /dev/null
+++ b/src/admission/tests/concurrencylimit_tests.cpp
@@ -0,0 +1,96 @@
+#include "admission/concurrencylimit.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figplank::admission;
+using figplank::framework::milliseconds;
+using figplank::framework::monotonic_time;
+
+namespace {
+
+constexpr std::uint8_t LeastUrgent = 7;
+
+/// Plays \p Windows windows in which every open slot is used and every run
+/// ends as \p Result.
+void playWindows(concurrency_limit &Limit, monotonic_time &Now, int Windows,
+                 run_result Result) {
+  for (int I = 0; I < Windows; ++I) {
+    int Started = 0;
+    while (hasRoom(Limit, LeastUrgent)) {
+      startRun(Limit);
+      ++Started;
+    }
+    for (; Started > 0; --Started) {
+      endRun(Limit, Result);
+    }
+    Now += milliseconds(100);
+    advanceLimit(Limit, Now);
+  }
+}
+
+} // namespace
+
+TEST_GROUP(ConcurrencyLimit) {
+  monotonic_time Now{};
+  concurrency_limit Limit;
+
+  void setup() override {
+    limit_settings Settings;
+    Settings.Slots = 40;
+    Limit = startLimit(Settings, Now);
+  }
+};
+
+TEST(ConcurrencyLimit, BeginsColdAndGrowsToTheSlotsWhileUsed) {
+  DOUBLES_EQUAL(10.0, Limit.Limit, 0.01);
+  playWindows(Limit, Now, 20, run_result::Completed);
+  DOUBLES_EQUAL(40.0, Limit.Limit, 0.01);
+}
+
+TEST(ConcurrencyLimit, SmallServerLeavesItsColdStart) {
+  setSlots(Limit, 4);
+  Limit.Limit = 1.0;
+  playWindows(Limit, Now, 20, run_result::Completed);
+  DOUBLES_EQUAL(4.0, Limit.Limit, 0.01);
+}
+
+TEST(ConcurrencyLimit, DoesNotGrowUnused) {
+  for (int I = 0; I < 20; ++I) {
+    startRun(Limit);
+    endRun(Limit, run_result::Completed);
+    Now += milliseconds(100);
+    advanceLimit(Limit, Now);
+  }
+  DOUBLES_EQUAL(10.0, Limit.Limit, 0.01);
+}
+
+TEST(ConcurrencyLimit, ShedCutsAtOnceAndOncePerWindow) {
+  playWindows(Limit, Now, 20, run_result::Completed);
+  for (int I = 0; I < 30; ++I) {
+    startRun(Limit);
+  }
+  endRun(Limit, run_result::Shed);
+  DOUBLES_EQUAL(21.0, Limit.Limit, 0.01);
+  endRun(Limit, run_result::Shed);
+  DOUBLES_EQUAL(21.0, Limit.Limit, 0.01);
+}
+
+TEST(ConcurrencyLimit, FastFailuresCloseItAndSuccessOpensIt) {
+  playWindows(Limit, Now, 20, run_result::Completed);
+  playWindows(Limit, Now, 20, run_result::Failed);
+  DOUBLES_EQUAL(1.0, Limit.Limit, 0.01);
+  DOUBLES_EQUAL(1.0, Limit.FailureRate, 0.01);
+  playWindows(Limit, Now, 40, run_result::Completed);
+  DOUBLES_EQUAL(40.0, Limit.Limit, 0.01);
+}
+
+TEST(ConcurrencyLimit, ReserveIsForUrgentRanks) {
+  playWindows(Limit, Now, 20, run_result::Completed);
+  reserveFor(Limit, 1);
+  while (hasRoom(Limit, 2)) {
+    startRun(Limit);
+  }
+  LONGS_EQUAL(38, Limit.InFlight);
+  CHECK_TRUE(hasRoom(Limit, 1));
+  CHECK_TRUE(hasRoom(Limit, 0));
+}
--- a/src/configuration/configurationtypes.h
+++ b/src/configuration/configurationtypes.h
@@ -66,14 +66,14 @@
 };
 
 /// A service, under `services/NAME`. The roster decides the home of each
-/// non-idempotent request; Previous names the roster that it replaces for as
-/// long as old homes may still run work.
+/// non-idempotent request; Previous names the rosters that it replaces, the
+/// newest first, for as long as their homes may still run work.
 struct service_settings {
   std::string Name;
   /// Concurrent requests that one backend server takes.
   std::uint32_t Slots = 0;
   std::vector<roster_member> Roster;
-  std::vector<roster_member> Previous;
+  std::vector<std::vector<roster_member>> Previous;
 
   bool operator==(const service_settings &) const = default;
 };
--- /dev/null
+++ b/src/configuration/tests/session_tests.cpp
@@ -0,0 +1,85 @@
+#include "configuration/store.h"
+#include "framework/tests/golden.h"
+
+#include <map>
+
+using namespace figplank;
+using namespace figplank::configuration;
+using framework::tests::session_words;
+
+namespace {
+
+/// Nodes that hear of revisions in any order, driven by a script.
+class store_session {
+public:
+  std::string decide(const session_words &Words) {
+    const std::string &Event = Words[0];
+    store &Store = Stores[Words[1]];
+    if (Event == "restart") {
+      Store = store();
+      return "empty";
+    }
+    if (Event == "hear") {
+      std::string Result = format(applyEntry(Store, entry(Words)));
+      return Result + " " + inForce(Store, Words[2]);
+    }
+    if (Event == "exchange") {
+      return exchange(Store, Stores[Words[2]]);
+    }
+    return inForce(Store, Words[2]);
+  }
+
+private:
+  /// `hear NODE KEY REVISION RANK`, where RANK `bad` makes it invalid.
+  static published_entry entry(const session_words &Words) {
+    std::string Rank = Words[4] == "bad" ? "99" : Words[4];
+    std::string Value = R"({"service":"s","path":"/p","rank":{"default":)" +
+                        Rank +
+                        R"(},"deadline_ms":{"default":100},"idempotent":true})";
+    return {"templates/" + Words[2], std::stoull(Words[3]),
+            Words[4] == "gone" ? "" : Value};
+  }
+
+  static std::string format(apply_result Result) {
+    constexpr const char *Names[] = {"accepted", "refused", "not_newer"};
+    return Names[static_cast<int>(Result)];
+  }
+
+  static std::string inForce(const store &Store, const std::string &Name) {
+    auto Found = Store.Catalog.Templates.find(Name);
+    return Found == Store.Catalog.Templates.end()
+               ? "in_force=none"
+               : "in_force=" + std::to_string(Found->second.Rank.Default);
+  }
+
+  /// One node asks another for what it lacks.
+  static std::string exchange(store &Asker, const store &Answerer) {
+    std::size_t Taken = 0;
+    constexpr std::size_t MaxBytes = 1'000'000;
+    for (const published_entry &Entry :
+         entriesNewerThan(Answerer, highestRevision(Asker), MaxBytes)) {
+      Taken += applyEntry(Asker, Entry) != apply_result::NotNewer ? 1 : 0;
+    }
+    if (summaryDigest(Asker) != summaryDigest(Answerer)) {
+      for (const published_entry &Entry :
+           entriesThatDiffer(Answerer, Asker.Digests, MaxBytes)) {
+        Taken += applyEntry(Asker, Entry) != apply_result::NotNewer ? 1 : 0;
+      }
+    }
+    bool Same = summaryDigest(Asker) == summaryDigest(Answerer);
+    return "taken=" + std::to_string(Taken) + (Same ? " same" : " differs");
+  }
+
+  std::map<std::string, store> Stores;
+};
+
+} // namespace
+
+TEST_GROUP(StoreSession){};
+
+TEST(StoreSession, RevisionsRacesAndStaleness) {
+  store_session Session;
+  framework::tests::playSession("revisions", [&](const session_words &Words) {
+    return Session.decide(Words);
+  });
+}
--- /dev/null
+++ b/src/configuration/tests/store_tests.cpp
@@ -0,0 +1,116 @@
+#include "configuration/store.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figplank;
+using namespace figplank::configuration;
+
+namespace {
+
+published_entry instanceEntry(int Number, std::uint64_t Revision) {
+  return {"instances/s/n" + std::to_string(Number), Revision,
+          R"({"zone":"z","address":"10.0.0.1:)" + std::to_string(Number) +
+              R"(","state":"live"})"};
+}
+
+constexpr const char *Template = R"({"service":"s","path":"/p",
+  "rank":{"default":2,"least":1,"most":4},"deadline_ms":{"default":100,"least":50,"most":200},
+  "idempotent":true})";
+
+} // namespace
+
+TEST_GROUP(Store) { store Store; };
+
+TEST(Store, OnlyHigherRevisionsAreTaken) {
+  CHECK(applyEntry(Store, instanceEntry(1, 5)) == apply_result::Accepted);
+  CHECK(applyEntry(Store, instanceEntry(1, 5)) == apply_result::NotNewer);
+  CHECK(applyEntry(Store, instanceEntry(1, 4)) == apply_result::NotNewer);
+  CHECK(applyEntry(Store, instanceEntry(1, 6)) == apply_result::Accepted);
+  LONGS_EQUAL(6, highestRevision(Store));
+}
+
+TEST(Store, RefusedRevisionLeavesTheAcceptedOneInForce) {
+  applyEntry(Store, {"templates/t", 1, Template});
+  CHECK(applyEntry(Store, {"templates/t", 2, "{}"}) == apply_result::Refused);
+  LONGS_EQUAL(2, Store.Catalog.Templates["t"].Rank.Default);
+  LONGS_EQUAL(1, Store.InForce["templates/t"]);
+  LONGS_EQUAL(2, Store.Refused["templates/t"].Revision);
+  CHECK(applyEntry(Store, {"templates/t", 1, Template}) ==
+        apply_result::NotNewer);
+  CHECK(applyEntry(Store, {"templates/t", 3, Template}) ==
+        apply_result::Accepted);
+  CHECK(Store.Refused.empty());
+}
+
+TEST(Store, DeletionIsAnEntryOfItsOwn) {
+  applyEntry(Store, instanceEntry(1, 1));
+  applyEntry(Store, {"instances/s/n1", 2, ""});
+  CHECK(Store.Catalog.Instances.empty());
+  CHECK(applyEntry(Store, instanceEntry(1, 1)) == apply_result::NotNewer);
+}
+
+TEST(Store, DigestsTellTheSameCopiesWhateverTheOrder) {
+  struct store Other;
+  for (int I = 1; I <= 50; ++I) {
+    applyEntry(Store, instanceEntry(I, static_cast<std::uint64_t>(I)));
+    applyEntry(Other,
+               instanceEntry(51 - I, static_cast<std::uint64_t>(51 - I)));
+  }
+  CHECK(summaryDigest(Store) == summaryDigest(Other));
+  applyEntry(Other, instanceEntry(7, 100));
+  CHECK(summaryDigest(Store) != summaryDigest(Other));
+}
+
+TEST(Store, MissedEntryIsFoundByBuckets) {
+  struct store Other;
+  for (int I = 1; I <= 50; ++I) {
+    applyEntry(Store, instanceEntry(I, static_cast<std::uint64_t>(I)));
+    if (I != 20) {
+      applyEntry(Other, instanceEntry(I, static_cast<std::uint64_t>(I)));
+    }
+  }
+  CHECK(entriesNewerThan(Store, highestRevision(Other), 1'000'000).empty());
+  for (const published_entry &Entry :
+       entriesThatDiffer(Store, Other.Digests, 1'000'000)) {
+    applyEntry(Other, Entry);
+  }
+  CHECK(summaryDigest(Store) == summaryDigest(Other));
+}
+
+TEST(Store, CopyInStepsIsWhole) {
+  struct store Other;
+  for (int I = 1; I <= 100; ++I) {
+    applyEntry(Store, instanceEntry(I, static_cast<std::uint64_t>(I)));
+  }
+  int Steps = 0;
+  while (highestRevision(Other) < highestRevision(Store)) {
+    for (const published_entry &Entry :
+         entriesNewerThan(Store, highestRevision(Other), 1'000)) {
+      applyEntry(Other, Entry);
+    }
+    ++Steps;
+  }
+  CHECK(Steps > 5);
+  CHECK(summaryDigest(Store) == summaryDigest(Other));
+}
+
+TEST(Store, ParametersAreHeldWithinTheTemplate) {
+  applyEntry(Store, {"templates/t", 1, Template});
+  CHECK_FALSE(resolveWork(Store.Catalog, "o", "t").has_value());
+  applyEntry(Store, {"parameters/o/t", 2, R"({"rank":0,"deadline_ms":900})"});
+  auto Work = resolveWork(Store.Catalog, "o", "t");
+  LONGS_EQUAL(1, Work->Rank);
+  LONGS_EQUAL(200, Work->Deadline.count());
+  CHECK_TRUE(Work->Idempotent);
+  applyEntry(Store, {"parameters/o/t", 3, R"({"idempotent":false})"});
+  CHECK_FALSE(resolveWork(Store.Catalog, "o", "t")->Idempotent);
+}
+
+TEST(Store, OrganisationCannotMakeNonIdempotentWorkIdempotent) {
+  std::string Strict(Template);
+  Strict.replace(Strict.find("\"idempotent\":true"), 17,
+                 "\"idempotent\":false");
+  applyEntry(Store, {"templates/t", 1, Strict});
+  applyEntry(Store, {"parameters/o/t", 2, R"({"idempotent":true})"});
+  CHECK_FALSE(resolveWork(Store.Catalog, "o", "t")->Idempotent);
+}
--- /dev/null
+++ b/src/configuration/tests/validation_tests.cpp
@@ -0,0 +1,77 @@
+#include "configuration/validation.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figplank;
+using namespace figplank::configuration;
+
+namespace {
+
+constexpr const char *GoodTemplate = R"({
+  "service": "hints", "path": "/reveal",
+  "rank": {"default": 1, "least": 0, "most": 3},
+  "deadline_ms": {"default": 1000, "least": 100, "most": 5000},
+  "idempotent": false, "extra_tries": 2, "minimum_share": 0.05})";
+
+std::size_t findingsOf(const char *Key, const std::string &Value) {
+  return validateValue(Key, Value).Findings.size();
+}
+
+} // namespace
+
+TEST_GROUP(Validation){};
+
+TEST(Validation, GoodValuesAreParsed) {
+  validation_result Result = validateValue("templates/reveal", GoodTemplate);
+  STRCMP_EQUAL("", framework::formatFindings(Result.Findings).c_str());
+  const auto &Template = std::get<work_template>(Result.Value);
+  STRCMP_EQUAL("hints", Template.Service.c_str());
+  LONGS_EQUAL(1, Template.Rank.Default);
+  CHECK_FALSE(Template.Idempotent);
+  LONGS_EQUAL(0, findingsOf("parameters/alpha/reveal", R"({"rank": 2})"));
+  LONGS_EQUAL(
+      0, findingsOf("instances/hints/hints-1",
+                    R"({"zone":"z1","address":"10.0.0.1:70","state":"live"})"));
+  LONGS_EQUAL(
+      0,
+      findingsOf(
+          "services/hints",
+          R"({"slots":5,"roster":[{"name":"a","zone":"z","address":"10.0.0.1:70"}]})"));
+}
+
+TEST(Validation, AllFindingsComeTogetherWithTheirPlaces) {
+  validation_result Result = validateValue(
+      "templates/reveal",
+      R"({"service": 5, "path": "x", "rank": {"default": 9}, "colour": 1})");
+  STRCMP_EQUAL(
+      "templates/reveal: /colour: is not a known member (value \"1\")\n"
+      "templates/reveal: /service: must be a text of 1 to 100 characters "
+      "(value \"5\")\n"
+      "templates/reveal: /path: must begin with / (value \"\"x\"\")\n"
+      "templates/reveal: /rank/default: must be a whole number from 0 to 7 "
+      "(value \"9\")\n"
+      "templates/reveal: /deadline_ms: is missing\n"
+      "templates/reveal: /idempotent: is missing\n",
+      framework::formatFindings(Result.Findings).c_str());
+}
+
+TEST(Validation, BadKeysAndTextsAreRefused) {
+  LONGS_EQUAL(1, findingsOf("templates/re veal", GoodTemplate));
+  LONGS_EQUAL(1, findingsOf("others/reveal", "{}"));
+  LONGS_EQUAL(1, findingsOf("templates", "{}"));
+  LONGS_EQUAL(1, findingsOf("templates/reveal", "{"));
+  LONGS_EQUAL(1, findingsOf("templates/reveal", "[]"));
+  LONGS_EQUAL(
+      1, findingsOf("templates/reveal", std::string(MaxValueBytes + 1, ' ')));
+}
+
+TEST(Validation, RostersNameEachUpstreamOnceByNumber) {
+  LONGS_EQUAL(1, findingsOf("services/s",
+                            R"({"slots":5,"roster":[
+                              {"name":"a","zone":"z","address":"10.0.0.1:70"},
+                              {"name":"a","zone":"z","address":"10.0.0.2:70"}]})"));
+  LONGS_EQUAL(1, findingsOf("services/s",
+                            R"({"slots":5,"roster":[
+                              {"name":"a","zone":"z","address":"host.example:70"}]})"));
+  LONGS_EQUAL(1, findingsOf("services/s", R"({"slots":5,"roster":[]})"));
+}
--- a/src/configuration/validation.cpp
+++ b/src/configuration/validation.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t MaxPathLength = 500;
 constexpr std::uint32_t MaxDeadlineMs = 600'000;
 constexpr std::uint32_t MaxExtraTries = 10;
+constexpr std::size_t MaxPrevious = 8;
 constexpr std::uint32_t MaxSlots = 100'000;
 constexpr std::uint32_t MaxTemplateBodyBytes = 8U << 20U;
 constexpr double MaxMinimumShare = 0.5;
@@ -128,27 +129,13 @@
   return Address;
 }
 
-std::vector<roster_member> readRoster(json_reader &Parent,
-                                      std::string_view Name, bool Required) {
+std::vector<roster_member> readRosterRows(const json &Rows,
+                                          const std::string &Place,
+                                          framework::findings &Findings) {
   std::vector<roster_member> Roster;
-  auto Found = Parent.Object.find(std::string(Name));
-  if (Found == Parent.Object.end()) {
-    if (Required) {
-      addFinding(Parent, Name, "is missing");
-    }
-    return Roster;
-  }
-  if (!Found->is_array() || (Required && Found->empty())) {
-    addFinding(Parent, Name,
-               Required ? "must be a list of one or more upstreams"
-                        : "must be a list");
-    return Roster;
-  }
   std::set<std::string> Names;
-  for (std::size_t I = 0; I < Found->size(); ++I) {
-    std::string Place =
-        Parent.Place + "/" + std::string(Name) + "/" + std::to_string(I);
-    json_reader Reader{(*Found)[I], std::move(Place), Parent.Findings};
+  for (std::size_t I = 0; I < Rows.size(); ++I) {
+    json_reader Reader{Rows[I], Place + "/" + std::to_string(I), Findings};
     if (!requireObject(Reader)) {
       continue;
     }
@@ -165,13 +152,45 @@
   return Roster;
 }
 
+std::vector<roster_member> readRoster(json_reader &Parent) {
+  auto Found = Parent.Object.find("roster");
+  if (Found == Parent.Object.end() || !Found->is_array() || Found->empty()) {
+    addFinding(Parent, "roster", "must be a list of one or more upstreams");
+    return {};
+  }
+  return readRosterRows(*Found, Parent.Place + "/roster", Parent.Findings);
+}
+
+/// `"previous": [ROSTER, ...]`, the newest first.
+std::vector<std::vector<roster_member>> readPrevious(json_reader &Parent) {
+  std::vector<std::vector<roster_member>> Rosters;
+  auto Found = Parent.Object.find("previous");
+  if (Found == Parent.Object.end()) {
+    return Rosters;
+  }
+  if (!Found->is_array() || Found->size() > MaxPrevious) {
+    addFinding(Parent, "previous", "must be a list of at most 8 rosters");
+    return Rosters;
+  }
+  for (std::size_t I = 0; I < Found->size(); ++I) {
+    std::string Place = Parent.Place + "/previous/" + std::to_string(I);
+    if (!(*Found)[I].is_array()) {
+      Parent.Findings.push_back(
+          {Place, "", "must be a roster, a list of upstreams"});
+      continue;
+    }
+    Rosters.push_back(readRosterRows((*Found)[I], Place, Parent.Findings));
+  }
+  return Rosters;
+}
+
 parsed_value readService(json_reader &Reader, const std::string &Name) {
   refuseUnknownMembers(Reader, {"slots", "roster", "previous"});
   service_settings Service;
   Service.Name = Name;
   Service.Slots = readWhole(Reader, "slots", 1, MaxSlots, true).value_or(1);
-  Service.Roster = readRoster(Reader, "roster", true);
-  Service.Previous = readRoster(Reader, "previous", false);
+  Service.Roster = readRoster(Reader);
+  Service.Previous = readPrevious(Reader);
   return Service;
 }
 
--- a/src/execution/home.cpp
+++ b/src/execution/home.cpp
@@ -100,15 +100,36 @@
          Table.AnswerBytes >= Table.Settings.MaxAnswerBytes;
 }
 
+/// Keeps a roster that \p Service no longer names.
 void rememberFormer(home_table &Table,
                     const std::vector<roster_member> &Members,
                     const configuration::service_settings &Service,
                     wall_time Now) {
-  if (Members.empty() || haveSameHomes(Members, Service.Roster) ||
-      haveSameHomes(Members, Service.Previous)) {
-    return;
+  bool Named = Members.empty() || haveSameHomes(Members, Service.Roster);
+  for (const std::vector<roster_member> &Previous : Service.Previous) {
+    Named |= haveSameHomes(Members, Previous);
+  }
+  if (!Named) {
+    Table.Former.push_back({Members, Now + Table.Settings.ClockBound});
+  }
+}
+
+/// The homes under the previous rosters other than \p Self, the oldest first,
+/// so that each later one finds the id fenced at those it would ask.
+std::vector<std::string> listPriorHomes(const home_table &Table,
+                                        const request_id &Id,
+                                        std::string_view Self) {
+  std::vector<std::string> Homes;
+  for (auto Roster = Table.Previous.rbegin(); Roster != Table.Previous.rend();
+       ++Roster) {
+    const roster_member *Home = homeOf(Id, *Roster);
+    bool Foreign = Home != nullptr && !isSelf(Home, Self);
+    if (Foreign &&
+        std::find(Homes.begin(), Homes.end(), Home->Address) == Homes.end()) {
+      Homes.push_back(Home->Address);
+    }
   }
-  Table.Former.push_back({Members, Now + Table.Settings.ClockBound});
+  return Homes;
 }
 
 } // namespace
@@ -141,7 +162,9 @@
                   wall_time Now) {
   Table.LatestNow = std::max(Table.LatestNow, Now);
   rememberFormer(Table, Table.Roster, Service, Now);
-  rememberFormer(Table, Table.Previous, Service, Now);
+  for (const std::vector<roster_member> &Previous : Table.Previous) {
+    rememberFormer(Table, Previous, Service, Now);
+  }
   Table.Roster = Service.Roster;
   Table.Previous = Service.Previous;
 }
@@ -165,10 +188,10 @@
   if (!isSelf(homeOf(Id, Table.Roster), Self)) {
     return refuse(outcome::Unknown, refusal_reason::HomeMoved);
   }
-  const roster_member *Prior = homeOf(Id, Table.Previous);
-  if (Prior != nullptr && !isSelf(Prior, Self) && !PriorFenced) {
-    return {home_verdict::AskPriorHome, outcome::Unknown, refusal_reason::None,
-            Prior->Address};
+  std::vector<std::string> PriorHomes = listPriorHomes(Table, Id, Self);
+  if (!PriorHomes.empty() && !PriorFenced) {
+    return {home_verdict::AskPriorHomes, outcome::Unknown, refusal_reason::None,
+            std::move(PriorHomes)};
   }
   if (isFull(Table)) {
     return refuseFresh(Table, Id, refusal_reason::OutcomeTableFull);
@@ -213,14 +236,16 @@
 
 handover_verdict handOver(home_table &Table, const request_id &Id,
                           std::string_view Self, std::string_view Asker,
+                          const std::vector<std::string> &Asked,
                           wall_time Now) {
   forgetExpired(Table, Now);
   const id_record *Record = findRecord(Table, Id);
   if (Record == nullptr) {
-    const roster_member *Prior = homeOf(Id, Table.Previous);
     bool Gap = findHistoryGap(Table, Id, Self) != refusal_reason::None;
-    if (Gap || (Prior != nullptr && !isSelf(Prior, Self)) ||
-        Table.Fences >= Table.Settings.MaxFences) {
+    for (const std::string &Home : listPriorHomes(Table, Id, Self)) {
+      Gap |= std::find(Asked.begin(), Asked.end(), Home) == Asked.end();
+    }
+    if (Gap || Table.Fences >= Table.Settings.MaxFences) {
       return handover_verdict::Unknowable;
     }
     insertRecord(
--- a/src/execution/home.h
+++ b/src/execution/home.h
@@ -86,9 +86,10 @@
   std::size_t Runs = 0;
   std::size_t Fences = 0;
   std::size_t AnswerBytes = 0;
-  /// The roster in force, and those it replaced within the retention.
+  /// The roster in force, those it replaced whose homes are to be asked, and
+  /// those that may no longer be asked.
   std::vector<configuration::roster_member> Roster;
-  std::vector<configuration::roster_member> Previous;
+  std::vector<std::vector<configuration::roster_member>> Previous;
   std::vector<former_roster> Former;
 };
 
@@ -117,8 +118,9 @@
   Join,
   /// Answer from the record.
   Known,
-  /// First fence the id at PriorHome, then ask again.
-  AskPriorHome,
+  /// First have the id fenced at PriorHomes, one after the other, then decide
+  /// again.
+  AskPriorHomes,
   /// Refuse with the outcome and reason given.
   Refuse,
 };
@@ -127,13 +129,14 @@
   home_verdict Verdict = home_verdict::Refuse;
   framework::outcome Outcome = framework::outcome::Unknown;
   framework::refusal_reason Reason = framework::refusal_reason::None;
-  /// Address of the home under the previous roster, for AskPriorHome.
-  std::string PriorHome;
+  /// Addresses of the homes under the previous rosters, the oldest first.
+  std::vector<std::string> PriorHomes;
 };
 
 /// Decides about a copy of \p Id that has arrived at the node of address
 /// \p Self; the address tells a process from its replacement. With
-/// \p PriorFenced the previous home has confirmed that it will never run it.
+/// \p PriorFenced the previous homes have confirmed that they will never run
+/// it.
 home_decision decideRun(home_table &Table, const request_id &Id,
                         std::string_view Self, bool PriorFenced,
                         framework::wall_time Now);
@@ -161,9 +164,12 @@
   Unknowable,
 };
 
-/// Gives \p Id up to the home at address \p Asker, and to no other.
+/// Gives \p Id up to the home at address \p Asker, and to no other. \p Asked
+/// holds the homes that have given it up to the asker already; this one can
+/// vouch only if those that it would have asked itself are among them.
 handover_verdict handOver(home_table &Table, const request_id &Id,
                           std::string_view Self, std::string_view Asker,
+                          const std::vector<std::string> &Asked,
                           framework::wall_time Now);
 
 /// Takes over the record that the previous home handed over.
--- /dev/null
+++ b/src/execution/tests/session_tests.cpp
@@ -0,0 +1,133 @@
+#include "execution/home.h"
+#include "framework/tests/golden.h"
+
+#include <map>
+
+using namespace figplank;
+using namespace figplank::execution;
+using framework::tests::session_words;
+
+namespace {
+
+/// Two homes, a and b, of one service, driven by a script.
+class home_session {
+public:
+  std::string decide(const session_words &Words) {
+    Now = framework::wall_time(framework::milliseconds(std::stoll(Words[0])));
+    const std::string &Event = Words[1];
+    const std::string &Node = Words[2];
+    if (Event == "start") {
+      Homes[Node] = startHome({}, Now);
+      return "accepts_from " +
+             std::to_string(Homes[Node].AcceptFrom.time_since_epoch().count());
+    }
+    if (Event == "roster") {
+      return roster(Node, Words);
+    }
+    if (Event == "wake") {
+      resetHome(Homes[Node], Now);
+      return "reset";
+    }
+    return decideOnId(Event, Node, Words);
+  }
+
+private:
+  static configuration::roster_member member(const std::string &Name) {
+    return {Name, "z", Name};
+  }
+
+  static std::vector<configuration::roster_member>
+  members(const std::string &Names) {
+    std::vector<configuration::roster_member> Roster;
+    for (char Name : Names) {
+      if (Name != '-') {
+        Roster.push_back(member(std::string(1, Name)));
+      }
+    }
+    return Roster;
+  }
+
+  /// `TIME roster NODE MEMBERS PREVIOUS...`, members as letters, - for none.
+  std::string roster(const std::string &Node, const session_words &Words) {
+    configuration::service_settings Service;
+    Service.Roster = members(Words[3]);
+    for (std::size_t I = 4; I < Words.size() && Words[I] != "-"; ++I) {
+      Service.Previous.push_back(members(Words[I]));
+    }
+    updateRoster(Homes[Node], Service, Now);
+    return "former=" + std::to_string(Homes[Node].Former.size());
+  }
+
+  /// `TIME EVENT NODE ID [...]`, where ID is `ISSUED.NUMBER`.
+  std::string decideOnId(const std::string &Event, const std::string &Node,
+                         const session_words &Words) {
+    home_table &Table = Homes[Node];
+    std::size_t Dot = Words[3].find('.');
+    request_id Id = makeRequestId(framework::wall_time(framework::milliseconds(
+                                      std::stoll(Words[3].substr(0, Dot)))),
+                                  1, std::stoull(Words[3].substr(Dot + 1)));
+    if (Event == "run" || Event == "run_fenced") {
+      return format(decideRun(Table, Id, Node, Event == "run_fenced", Now));
+    }
+    if (Event == "hand_over") {
+      constexpr const char *Names[] = {"granted", "running", "known",
+                                       "unknowable"};
+      session_words Asked(Words.begin() + 5, Words.end());
+      return Names[static_cast<int>(
+          handOver(Table, Id, Node, Words[4], Asked, Now))];
+    }
+    if (Event == "complete") {
+      completeRun(Table, Id, {200, "", "answer"});
+    } else if (Event == "lose") {
+      loseRun(Table, Id, framework::refusal_reason::BackendFailed);
+    } else if (Event == "fence") {
+      fenceRun(Table, Id, framework::refusal_reason::Overload);
+    } else if (Event == "adopt") {
+      adoptRecord(Table, Id, *findRecord(Homes[Words[4]], Id));
+    }
+    return "runs=" + std::to_string(Table.Runs) +
+           " fences=" + std::to_string(Table.Fences);
+  }
+
+  static std::string formatAsk(const std::vector<std::string> &Homes) {
+    std::string Text = "ask";
+    for (const std::string &Home : Homes) {
+      Text += " " + Home;
+    }
+    return Text;
+  }
+
+  static std::string format(const home_decision &Decision) {
+    switch (Decision.Verdict) {
+    case home_verdict::Run:
+      return "run";
+    case home_verdict::Join:
+      return "join";
+    case home_verdict::Known:
+      return "known";
+    case home_verdict::AskPriorHomes:
+      return formatAsk(Decision.PriorHomes);
+    case home_verdict::Refuse:
+      break;
+    }
+    return std::string(framework::nameOf(Decision.Outcome)) + " " +
+           std::string(framework::nameOf(Decision.Reason));
+  }
+
+  framework::wall_time Now;
+  std::map<std::string, home_table> Homes;
+};
+
+void play(const std::string &Name) {
+  home_session Session;
+  framework::tests::playSession(
+      Name, [&](const session_words &Words) { return Session.decide(Words); });
+}
+
+} // namespace
+
+TEST_GROUP(HomeSession){};
+
+TEST(HomeSession, Takeover) { play("takeover"); }
+TEST(HomeSession, Replacement) { play("replacement"); }
+TEST(HomeSession, OperatorsRace) { play("operators_race"); }
--- /dev/null
+++ b/src/membership/tests/readers_tests.cpp
@@ -0,0 +1,80 @@
+#include "membership/pause.h"
+#include "membership/readers.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+using namespace figplank;
+using namespace figplank::membership;
+using framework::milliseconds;
+using framework::monotonic_time;
+using framework::wall_time;
+
+namespace {
+
+std::vector<std::string> hundredMembers() {
+  std::vector<std::string> Members;
+  for (int I = 0; I < 100; ++I) {
+    Members.push_back("127.0.0.1:" + std::to_string(1'000 + I));
+  }
+  return Members;
+}
+
+std::set<std::string> readersAt(const std::vector<std::string> &Members,
+                                std::int64_t Now) {
+  std::set<std::string> Readers;
+  for (const std::string &Member : Members) {
+    if (isReader({}, Member, Members, wall_time(milliseconds(Now)))) {
+      Readers.insert(Member);
+    }
+  }
+  return Readers;
+}
+
+} // namespace
+
+TEST_GROUP(Readers){};
+
+TEST(Readers, FewChooseThemselvesAndTheDutyMoves) {
+  std::vector<std::string> Members = hundredMembers();
+  std::set<std::string> First = readersAt(Members, 0);
+  LONGS_EQUAL(3, First.size());
+  CHECK(First == readersAt(Members, 59'999));
+  CHECK(First != readersAt(Members, 60'000));
+}
+
+TEST(Readers, DeadReaderIsReplacedOnceTheListTellsOfIt) {
+  std::vector<std::string> Members = hundredMembers();
+  std::set<std::string> Before = readersAt(Members, 0);
+  std::erase(Members, *Before.begin());
+  std::set<std::string> After = readersAt(Members, 0);
+  LONGS_EQUAL(3, After.size());
+  CHECK(After.count(*Before.begin()) == 0);
+}
+
+TEST(Readers, EveryMemberOfASmallZoneReads) {
+  LONGS_EQUAL(2, readersAt({"a", "b"}, 0).size());
+}
+
+TEST(Readers, PeersAreDifferentAndNeverSelf) {
+  std::vector<std::string> Picked =
+      pickPeers({"a", "b", "c"}, "b", {0.0, 0.1, 0.4, 0.5, 0.99});
+  LONGS_EQUAL(2, Picked.size());
+  STRCMP_EQUAL("a", Picked[0].c_str());
+  STRCMP_EQUAL("c", Picked[1].c_str());
+  CHECK(pickPeers({}, "b", {0.5}).empty());
+}
+
+TEST_GROUP(Pause){};
+
+TEST(Pause, OnlyLongGapsCount) {
+  pause_detector Detector;
+  Detector.LastTick = monotonic_time(milliseconds(0));
+  CHECK(observeTick(Detector, monotonic_time(milliseconds(20))) ==
+        milliseconds(0));
+  CHECK(observeTick(Detector, monotonic_time(milliseconds(60'020))) ==
+        milliseconds(60'000));
+  CHECK(observeTick(Detector, monotonic_time(milliseconds(60'040))) ==
+        milliseconds(0));
+}
--- a/src/node/callerhttp.cpp
+++ b/src/node/callerhttp.cpp
@@ -15,6 +15,12 @@
 using framework::refusal_reason;
 
 constexpr std::string_view WorkPrefix = "/work/";
+constexpr std::string_view RoundPrefix = "/round/";
+/// A round's usual deadline, in deadlines of one of its requests.
+constexpr int RoundDeadlineFactor = 10;
+constexpr milliseconds MaxRoundDeadline{60'000};
+constexpr milliseconds RoundRetryAfter{1'000};
+constexpr std::uint32_t MaxRoundBytes = 8U << 20U;
 constexpr std::size_t MaxTokenLength = 100;
 constexpr unsigned GatewayTimeout = 504;
 
@@ -122,8 +128,8 @@
 }
 
 caller_service::caller_service(node_runtime &Node, dispatcher &Dispatcher,
-                               context_table &Contexts)
-    : Node(Node), Dispatcher(Dispatcher), Contexts(Contexts),
+                               round_service &Rounds, context_table &Contexts)
+    : Node(Node), Dispatcher(Dispatcher), Rounds(Rounds), Contexts(Contexts),
       Headers(makeCallerHeaders()) {}
 
 caller_service::parsed_call
@@ -131,7 +137,9 @@
                       const kj::HttpHeaders &Received) {
   parsed_call Call;
   std::string Path(Url.cStr(), Url.size());
-  if (Method != kj::HttpMethod::POST || !Path.starts_with(WorkPrefix)) {
+  bool IsRound = Path.starts_with(RoundPrefix);
+  bool IsWork = Path.starts_with(WorkPrefix);
+  if (Method != kj::HttpMethod::POST || (!IsWork && !IsRound)) {
     Call.Reason = refusal_reason::MalformedRequest;
     return Call;
   }
@@ -139,10 +147,14 @@
     Call.Reason = refusal_reason::NoConfiguration;
     return Call;
   }
-  std::string Template = Path.substr(WorkPrefix.size());
+  std::string Template =
+      Path.substr(IsRound ? RoundPrefix.size() : WorkPrefix.size());
   std::string Token = headerText(Received, Headers.Context);
   if (Token.empty()) {
     parseRoot(Call, Template, Received);
+    if (IsRound) {
+      parseRoundDeadline(Call, Received);
+    }
   } else {
     parseChild(Call, Template, Token, Received);
   }
@@ -257,45 +269,92 @@
 task<void> caller_service::serve(parsed_call Call, kj::AsyncInputStream &Body,
                                  Response &Reply) {
   framework::monotonic_time Start = readClocks().Monotonic;
-  work_answer Answer;
-  if (Call.Reason == refusal_reason::None) {
-    kj::Maybe<std::uint64_t> Length = Body.tryGetLength();
-    KJ_IF_MAYBE (Bytes, Length) {
-      if (*Bytes > Call.MaxBodyBytes) {
-        Call.Reason = refusal_reason::BodyTooLarge;
-      }
-    }
-  }
   if (Call.Reason == refusal_reason::None) {
-    try {
-      kj::Array<kj::byte> Bytes = co_await Body.readAllBytes(Call.MaxBodyBytes);
-      Call.Request.Body.assign(reinterpret_cast<const char *>(Bytes.begin()),
-                               Bytes.size());
-    } catch (const kj::Exception &Exception) {
-      if (Exception.getType() == kj::Exception::Type::DISCONNECTED) {
-        throw;
-      }
-      Call.Reason = refusal_reason::BodyTooLarge;
-    }
+    co_await readBody(Call, Body);
   }
   const std::uint8_t Rank = Call.Request.Rank;
   const std::string Id =
       Call.Request.Id ? execution::formatRequestId(*Call.Request.Id) : "";
+  work_answer Answer = co_await dispatch(kj::mv(Call));
+  countRefusal(Node.Metrics.AnsweredReasons, Answer.Reason);
+  Node.Metrics.AnsweredOutcomes[static_cast<std::size_t>(Answer.Outcome)]
+      ->Increment();
+  auto Taken = readClocks().Monotonic - Start;
+  Node.Metrics.Latency[Rank]->Observe(
+      std::chrono::duration<double>(Taken).count());
+  co_await reply(Reply, Answer, Id);
+}
+
+task<void> caller_service::readBody(parsed_call &Call,
+                                    kj::AsyncInputStream &Body) {
+  kj::Maybe<std::uint64_t> Length = Body.tryGetLength();
+  KJ_IF_MAYBE (Bytes, Length) {
+    if (*Bytes > Call.MaxBodyBytes) {
+      Call.Reason = refusal_reason::BodyTooLarge;
+      co_return;
+    }
+  }
+  try {
+    kj::Array<kj::byte> Bytes = co_await Body.readAllBytes(Call.MaxBodyBytes);
+    Call.Request.Body.assign(reinterpret_cast<const char *>(Bytes.begin()),
+                             Bytes.size());
+  } catch (const kj::Exception &Exception) {
+    if (Exception.getType() == kj::Exception::Type::DISCONNECTED) {
+      throw;
+    }
+    Call.Reason = refusal_reason::BodyTooLarge;
+  }
+}
+
+task<work_answer> caller_service::dispatch(parsed_call Call) {
+  work_answer Answer;
   if (Call.Reason != refusal_reason::None) {
     Answer = refuseCall(Call.Reason);
+  } else if (Call.IsRound) {
+    Answer = co_await dispatchRound(kj::mv(Call));
   } else if (Call.Parent) {
     Answer =
         co_await Dispatcher.dispatchChild(kj::mv(Call.Request), Call.Parent);
   } else {
     Answer = co_await Dispatcher.dispatchRoot(kj::mv(Call.Request));
   }
-  countRefusal(Node.Metrics.AnsweredReasons, Answer.Reason);
-  Node.Metrics.AnsweredOutcomes[static_cast<std::size_t>(Answer.Outcome)]
-      ->Increment();
-  auto Taken = readClocks().Monotonic - Start;
-  Node.Metrics.Latency[Rank]->Observe(
-      std::chrono::duration<double>(Taken).count());
-  co_await reply(Reply, Answer, Id);
+  co_return kj::mv(Answer);
+}
+
+task<work_answer> caller_service::dispatchRound(parsed_call Call) {
+  round_request Round;
+  if (!readRound(Call.Request.Body, Round.Bodies)) {
+    co_return refuseCall(refusal_reason::MalformedRequest);
+  }
+  Round.Deadline = Call.RoundDeadline;
+  Round.RequestDeadline = std::chrono::duration_cast<milliseconds>(
+      Call.Request.Deadline - readClocks().Monotonic);
+  Round.Common = kj::mv(Call.Request);
+  Round.Common.Body.clear();
+  round_answer Served = co_await Rounds.serve(kj::mv(Round));
+  work_answer Answer = refuseWork(Served.Outcome, Served.Reason);
+  if (Served.Outcome == outcome::NotRun) {
+    Answer.RetryAfter = RoundRetryAfter;
+  } else {
+    bool Whole = Served.Outcome == outcome::Completed;
+    Answer.Status = Whole ? 200 : GatewayTimeout;
+    Answer.ContentType = "application/json";
+    Answer.Body = formatRound(Served);
+  }
+  co_return kj::mv(Answer);
+}
+
+void caller_service::parseRoundDeadline(parsed_call &Call,
+                                        const kj::HttpHeaders &Received) {
+  framework::monotonic_time Now = readClocks().Monotonic;
+  auto Usual = RoundDeadlineFactor * std::chrono::duration_cast<milliseconds>(
+                                         Call.Request.Deadline - Now);
+  auto Wanted = headerNumber(Received, Headers.DeadlineMs,
+                             static_cast<std::uint32_t>(Usual.count()));
+  milliseconds Allowed(Wanted.value_or(1));
+  Call.RoundDeadline = Now + std::min(Allowed, MaxRoundDeadline);
+  Call.MaxBodyBytes = MaxRoundBytes;
+  Call.IsRound = true;
 }
 
 task<void> caller_service::reply(Response &Reply, const work_answer &Answer,
--- a/src/node/callerhttp.h
+++ b/src/node/callerhttp.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "node/dispatch.h"
+#include "node/rounds.h"
 
 #include <kj/compat/http.h>
 
@@ -37,7 +38,7 @@
                              public kj::HttpServerErrorHandler {
 public:
   caller_service(node_runtime &Node, dispatcher &Dispatcher,
-                 context_table &Contexts);
+                 round_service &Rounds, context_table &Contexts);
 
   const kj::HttpHeaderTable &headerTable() const { return *Headers.Table; }
 
@@ -61,6 +62,8 @@
     work_request Request;
     std::uint32_t MaxBodyBytes = 0;
     std::shared_ptr<call_context> Parent;
+    bool IsRound = false;
+    framework::monotonic_time RoundDeadline;
   };
 
   task<void> serve(parsed_call Call, kj::AsyncInputStream &Body,
@@ -71,10 +74,16 @@
                  const kj::HttpHeaders &Received);
   void parseChild(parsed_call &Call, const std::string &Template,
                   const std::string &Token, const kj::HttpHeaders &Received);
+  /// Reads the body into the request, or sets the reason of a refusal.
+  task<void> readBody(parsed_call &Call, kj::AsyncInputStream &Body);
+  task<work_answer> dispatch(parsed_call Call);
+  task<work_answer> dispatchRound(parsed_call Call);
+  void parseRoundDeadline(parsed_call &Call, const kj::HttpHeaders &Received);
   task<void> reply(Response &Reply, const work_answer &Answer, std::string Id);
 
   node_runtime &Node;
   dispatcher &Dispatcher;
+  round_service &Rounds;
   context_table &Contexts;
   caller_headers Headers;
 };
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -27,7 +27,8 @@
   node_parts(const node_settings &Settings, kj::AsyncIoContext &Io)
       : Node(Settings, Io), Peers(Node), Upstream(Node, Peers),
         Dissemination(Node, Peers, Mailbox), Dispatcher(Node, Peers, Upstream),
-        Callers(Node, Dispatcher, Upstream.Contexts),
+        Rounds(Node, Dispatcher),
+        Callers(Node, Dispatcher, Rounds, Upstream.Contexts),
         Rpc(kj::heap<rpc_service>(Node, Upstream, Dissemination)),
         Admin(Node, Mailbox,
               [this]() { return formatStatus(Node, Upstream, Dissemination); }),
@@ -55,6 +56,7 @@
   upstream_service Upstream;
   disseminator Dissemination;
   dispatcher Dispatcher;
+  round_service Rounds;
   caller_service Callers;
   capnp::TwoPartyServer Rpc;
   admin_server Admin;
--- a/src/node/rpcservice.cpp
+++ b/src/node/rpcservice.cpp
@@ -48,9 +48,13 @@
   auto Id = execution::requestIdFromBytes(
       {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()});
   std::string Asker = Context.getParams().getAsker().cStr();
+  std::vector<std::string> Asked;
+  for (capnp::Text::Reader Home : Context.getParams().getAsked()) {
+    Asked.emplace_back(Home.cStr());
+  }
   handover_answer Answer;
   if (Id) {
-    Answer = co_await Upstream.handOver(*Id, Asker);
+    Answer = co_await Upstream.handOver(*Id, Asker, Asked);
   } else {
     Node.Metrics.MalformedMessages->Increment();
   }
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -114,11 +114,9 @@
   const std::string &Self = Node.Settings.RpcAddress;
   execution::home_decision Decision =
       execution::decideRun(Node.Home, Id, Self, false, readClocks().Wall);
-  if (Decision.Verdict == execution::home_verdict::AskPriorHome) {
-    handover_answer Prior = co_await askPriorHome(Decision.PriorHome, Id);
-    if (Prior.Verdict == execution::handover_verdict::Known) {
-      execution::adoptRecord(Node.Home, Id, Prior.Record);
-    } else if (Prior.Verdict != execution::handover_verdict::Granted) {
+  if (Decision.Verdict == execution::home_verdict::AskPriorHomes) {
+    bool Settled = co_await askPriorHomes(Decision.PriorHomes, Id);
+    if (!Settled) {
       co_return refuseWork(outcome::Unknown, refusal_reason::HomeUnreachable);
     }
     Decision =
@@ -178,8 +176,26 @@
   co_return kj::mv(Answer);
 }
 
-task<handover_answer> upstream_service::askPriorHome(std::string Address,
-                                                     execution::request_id Id) {
+task<bool> upstream_service::askPriorHomes(std::vector<std::string> Homes,
+                                           execution::request_id Id) {
+  std::vector<std::string> Asked;
+  for (const std::string &Home : Homes) {
+    handover_answer Prior = co_await askPriorHome(Home, Id, Asked);
+    if (Prior.Verdict == execution::handover_verdict::Known) {
+      execution::adoptRecord(Node.Home, Id, Prior.Record);
+      co_return true;
+    }
+    if (Prior.Verdict != execution::handover_verdict::Granted) {
+      co_return false;
+    }
+    Asked.push_back(Home);
+  }
+  co_return true;
+}
+
+task<handover_answer>
+upstream_service::askPriorHome(std::string Address, execution::request_id Id,
+                               std::vector<std::string> Asked) {
   handover_answer Answer;
   connection_result Connected = co_await Peers.connect(Address);
   call_error Error = Connected.Error;
@@ -189,6 +205,10 @@
     Request.setId(
         {reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()});
     Request.setAsker(Node.Settings.RpcAddress.c_str());
+    auto Granted = Request.initAsked(static_cast<unsigned>(Asked.size()));
+    for (unsigned I = 0; I < Asked.size(); ++I) {
+      Granted.set(I, Asked[I].c_str());
+    }
     auto Called = co_await Peers.call(kj::mv(*Connection), kj::mv(Request),
                                       readClocks().Monotonic + HandoverTimeout);
     KJ_IF_MAYBE (Response, Called.Got) {
@@ -202,19 +222,20 @@
   co_return kj::mv(Answer);
 }
 
-task<handover_answer> upstream_service::handOver(execution::request_id Id,
-                                                 std::string Asker) {
+task<handover_answer>
+upstream_service::handOver(execution::request_id Id, std::string Asker,
+                           std::vector<std::string> Asked) {
   handover_answer Answer;
   if (!Node.Condition.Ready || Node.Condition.ViewStale) {
     co_return kj::mv(Answer);
   }
   const std::string &Self = Node.Settings.RpcAddress;
   Answer.Verdict =
-      execution::handOver(Node.Home, Id, Self, Asker, readClocks().Wall);
+      execution::handOver(Node.Home, Id, Self, Asker, Asked, readClocks().Wall);
   if (Answer.Verdict == execution::handover_verdict::Running) {
     work_answer Ended = co_await joinRun(Id);
-    Answer.Verdict =
-        execution::handOver(Node.Home, Id, Self, Asker, readClocks().Wall);
+    Answer.Verdict = execution::handOver(Node.Home, Id, Self, Asker, Asked,
+                                         readClocks().Wall);
   }
   const execution::id_record *Record = execution::findRecord(Node.Home, Id);
   if (Answer.Verdict == execution::handover_verdict::Known &&
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -41,7 +41,8 @@
   task<work_answer> execute(work_request Request);
 
   /// Answers another home that asks for an id.
-  task<handover_answer> handOver(execution::request_id Id, std::string Asker);
+  task<handover_answer> handOver(execution::request_id Id, std::string Asker,
+                                 std::vector<std::string> Asked);
 
   /// Takes crash reports and drain announcements of other nodes.
   void applyNotice(const std::vector<retry::crash_report> &Reports,
@@ -65,8 +66,13 @@
   friend class queue_turn;
 
   task<work_answer> executeOnce(work_request Request);
+  /// Asks \p Homes one after the other; true once they have all given the id
+  /// up, or one has told its outcome.
+  task<bool> askPriorHomes(std::vector<std::string> Homes,
+                           execution::request_id Id);
   task<handover_answer> askPriorHome(std::string Address,
-                                     execution::request_id Id);
+                                     execution::request_id Id,
+                                     std::vector<std::string> Asked);
   task<work_answer> runOnce(work_request Request);
   task<work_answer> joinRun(execution::request_id Id);
   task<work_answer> admitAndRun(work_request Request);
--- /dev/null
+++ b/src/retry/tests/suspects_tests.cpp
@@ -0,0 +1,96 @@
+#include "retry/suspects.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figplank::retry;
+using figplank::framework::milliseconds;
+using figplank::framework::monotonic_time;
+
+namespace {
+
+constexpr fingerprint Poison = 1;
+constexpr fingerprint Innocent = 2;
+constexpr fingerprint Other = 3;
+
+monotonic_time at(int Milliseconds) {
+  return monotonic_time(milliseconds(Milliseconds));
+}
+
+} // namespace
+
+TEST_GROUP(Suspects) { suspect_table Table; };
+
+TEST(Suspects, UnknownRequestsAreClear) {
+  CHECK(judge(Table, Poison, at(0)) == suspect_verdict::Clear);
+}
+
+TEST(Suspects, SecondCrashAloneCondemnsTheCulpritOnly) {
+  applyCrashReport(Table, makeCrashReport(Table, 100, {Poison, Innocent}),
+                   at(0));
+  CHECK(judge(Table, Poison, at(1)) == suspect_verdict::RunAlone);
+  startSuspect(Table, Poison);
+  CHECK(judge(Table, Innocent, at(2)) == suspect_verdict::Wait);
+  applyCrashReport(Table, makeCrashReport(Table, 101, {Poison, Other}), at(3));
+  finishRun(Table, Poison, false);
+  CHECK(judge(Table, Poison, at(4)) == suspect_verdict::Condemned);
+  CHECK(judge(Table, Innocent, at(4)) == suspect_verdict::RunAlone);
+  CHECK(judge(Table, Other, at(4)) == suspect_verdict::RunAlone);
+}
+
+TEST(Suspects, SuspectThatCompletesIsCleared) {
+  applyCrashReport(Table, makeCrashReport(Table, 100, {Poison, Innocent}),
+                   at(0));
+  startSuspect(Table, Innocent);
+  finishRun(Table, Innocent, true);
+  CHECK(judge(Table, Innocent, at(1)) == suspect_verdict::Clear);
+  CHECK(judge(Table, Poison, at(1)) == suspect_verdict::RunAlone);
+}
+
+TEST(Suspects, ReportsOfTwoNodesMeetInEitherOrder) {
+  crash_report First{100, {Poison, Innocent}, 0};
+  crash_report Second{200, {Poison, Other}, 0};
+  suspect_table Reverse;
+  applyCrashReport(Table, First, at(0));
+  applyCrashReport(Table, Second, at(1));
+  applyCrashReport(Reverse, Second, at(0));
+  applyCrashReport(Reverse, First, at(1));
+  for (suspect_table *Each : {&Table, &Reverse}) {
+    CHECK(judge(*Each, Poison, at(2)) == suspect_verdict::Condemned);
+    CHECK(judge(*Each, Innocent, at(2)) == suspect_verdict::RunAlone);
+  }
+}
+
+TEST(Suspects, PairThatCrashedTogetherTwiceIsToldApart) {
+  // Both were sent again before the first report had arrived.
+  applyCrashReport(Table, {100, {Poison, Innocent}, 0}, at(0));
+  applyCrashReport(Table, {200, {Poison, Innocent}, 0}, at(1));
+  CHECK(judge(Table, Poison, at(2)) == suspect_verdict::RunAlone);
+  startSuspect(Table, Innocent);
+  finishRun(Table, Innocent, true);
+  CHECK(judge(Table, Innocent, at(3)) == suspect_verdict::Clear);
+  startSuspect(Table, Poison);
+  applyCrashReport(Table, makeCrashReport(Table, 300, {Poison}), at(4));
+  CHECK(judge(Table, Poison, at(5)) == suspect_verdict::Condemned);
+}
+
+TEST(Suspects, OneReportTakenTwiceCountsOnce) {
+  CHECK_TRUE(applyCrashReport(Table, {100, {Poison}, 0}, at(0)));
+  CHECK_FALSE(applyCrashReport(Table, {100, {Poison}, 0}, at(1)));
+  CHECK(judge(Table, Poison, at(2)) == suspect_verdict::RunAlone);
+}
+
+TEST(Suspects, ExpireAndStayBounded) {
+  Table.Settings.MaxSuspects = 10;
+  for (fingerprint I = 1; I <= 100; ++I) {
+    applyCrashReport(Table, {I, {I}, 0}, at(static_cast<int>(I)));
+    CHECK(Table.Suspects.size() <= 10);
+  }
+  CHECK(judge(Table, 100, at(200)) == suspect_verdict::RunAlone);
+  CHECK(judge(Table, 100, at(700'000)) == suspect_verdict::Clear);
+}
+
+TEST(Suspects, FingerprintIgnoresTheId) {
+  CHECK(fingerprintOf("t", "o", "body") == fingerprintOf("t", "o", "body"));
+  CHECK(fingerprintOf("t", "o", "body") != fingerprintOf("t", "p", "body"));
+  CHECK(fingerprintOf("t", "o", "body") != fingerprintOf("t", "o", "body2"));
+}
--- /dev/null
+++ b/src/routing/tests/upstreams_tests.cpp
@@ -0,0 +1,115 @@
+#include "routing/upstreams.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figplank;
+using namespace figplank::routing;
+using framework::milliseconds;
+using framework::monotonic_time;
+
+namespace {
+
+monotonic_time at(int Milliseconds) {
+  return monotonic_time(milliseconds(Milliseconds));
+}
+
+std::vector<candidate> fourUpstreams() {
+  return {
+      {"a", "z1", "a"}, {"b", "z1", "b"}, {"c", "z2", "c"}, {"d", "z2", "d"}};
+}
+
+reported_load loadOf(double Limit, std::uint32_t InFlight,
+                     double FailureRate = 0.0) {
+  reported_load Load;
+  Load.Limit = Limit;
+  Load.InFlight = InFlight;
+  Load.FailureRate = FailureRate;
+  return Load;
+}
+
+} // namespace
+
+TEST_GROUP(Upstreams) {
+  upstream_table Table;
+  std::vector<candidate> Candidates = fourUpstreams();
+
+  std::string choose(choice_draws Draws, int Now = 100,
+                     const std::vector<std::string> &Tried = {}) {
+    const candidate *Chosen =
+        chooseUpstream(Table, Candidates, "z1", Tried, Draws, at(Now));
+    return Chosen == nullptr ? "none" : Chosen->Name;
+  }
+
+  void answer(const char *Address, const reported_load &Load) {
+    recordStart(Table, Address);
+    recordAnswer(Table, Address, Load, at(100));
+  }
+};
+
+TEST(Upstreams, OwnZoneFirstWhileItHasRoom) {
+  for (double Draw : {0.0, 0.3, 0.6, 0.99}) {
+    std::string Chosen = choose({Draw, 1.0 - Draw - 0.001});
+    CHECK(Chosen == "a" || Chosen == "b");
+  }
+}
+
+TEST(Upstreams, LessLoadedOfTwoIsTaken) {
+  answer("a", loadOf(10, 9));
+  answer("b", loadOf(10, 1));
+  STRCMP_EQUAL("b", choose({0.0, 0.0}).c_str());
+  STRCMP_EQUAL("b", choose({0.9, 0.0}).c_str());
+}
+
+TEST(Upstreams, FullZoneSpillsToOthers) {
+  answer("a", loadOf(10, 20));
+  answer("b", loadOf(10, 20));
+  std::string Chosen = choose({0.6, 0.9});
+  CHECK(Chosen == "c" || Chosen == "d");
+}
+
+TEST(Upstreams, FastFailuresDrawNoTraffic) {
+  answer("a", loadOf(10, 0, 1.0));
+  answer("b", loadOf(10, 8));
+  STRCMP_EQUAL("b", choose({0.0, 0.0}).c_str());
+}
+
+TEST(Upstreams, DeadUpstreamIsAvoidedForAWhile) {
+  recordStart(Table, "a");
+  recordFailure(Table, "a", at(100));
+  STRCMP_EQUAL("b", choose({0.0, 0.0}).c_str());
+  STRCMP_EQUAL("b", choose({0.9, 0.0}).c_str());
+  CHECK(choose({0.0, 0.0}, 300) == "a" || choose({0.9, 0.0}, 300) == "a");
+}
+
+TEST(Upstreams, WhenMostLookDeadTheViewIsSuspected) {
+  for (const char *Address : {"a", "b", "c"}) {
+    recordStart(Table, Address);
+    recordFailure(Table, Address, at(100));
+  }
+  std::string Chosen = choose({0.0, 0.0});
+  CHECK(Chosen == "a" || Chosen == "b");
+}
+
+TEST(Upstreams, TriedOnesAreNotTriedAgain) {
+  STRCMP_EQUAL("none", choose({0.0, 0.0}, 100, {"a", "b", "c", "d"}).c_str());
+  STRCMP_EQUAL("d", choose({0.0, 0.0}, 100, {"a", "b", "c"}).c_str());
+}
+
+TEST(Upstreams, EmptyListFallsBackToTheRosterAndDrainsAreHeeded) {
+  configuration::catalog Catalog;
+  configuration::service_settings Service;
+  Service.Name = "s";
+  Service.Roster = {{"a", "z1", "a"}, {"b", "z2", "b"}};
+  Catalog.Services["s"] = Service;
+  LONGS_EQUAL(2, listCandidates(Catalog, Table, "s", at(0)).size());
+  recordDrain(Table, "a", at(0));
+  LONGS_EQUAL(1, listCandidates(Catalog, Table, "s", at(1)).size());
+  LONGS_EQUAL(2, listCandidates(Catalog, Table, "s", at(70'000)).size());
+}
+
+TEST(Upstreams, PauseForgetsWhatWasSeen) {
+  recordStart(Table, "a");
+  recordFailure(Table, "a", at(100));
+  forgetViews(Table);
+  CHECK(choose({0.0, 0.0}) == "a" || choose({0.9, 0.0}) == "a");
+}
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -76,8 +76,9 @@
   run @0 (request :WorkRequest) -> (answer :WorkAnswer);
   # Runs one request. Dropping the call cancels idempotent work.
 
-  handOver @1 (id :Data, asker :Text) -> (record :HomeRecord);
-  # Asks the previous home of an id to give it up.
+  handOver @1 (id :Data, asker :Text, asked :List(Text)) -> (record :HomeRecord);
+  # Asks a previous home of an id to give it up; the addresses in asked have
+  # done so already.
 
   push @2 (entries :List(Entry), hops :UInt8) -> ();
   # Tells of new configuration entries.
--- a/src/rpc/node.capnp.h
+++ b/src/rpc/node.capnp.h
@@ -202,7 +202,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8c228551732e6380, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(8c228551732e6380, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1349,6 +1349,9 @@
   inline bool hasAsker() const;
   inline  ::capnp::Text::Reader getAsker() const;
 
+  inline bool hasAsked() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAsked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1391,6 +1394,14 @@
   inline void adoptAsker(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAsker();
 
+  inline bool hasAsked();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAsked();
+  inline void setAsked( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAsked(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAsked(unsigned int size);
+  inline void adoptAsked(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAsked();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3290,6 +3301,44 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Node::HandOverParams::Reader::hasAsked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::HandOverParams::Builder::hasAsked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Node::HandOverParams::Reader::getAsked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::HandOverParams::Builder::getAsked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Node::HandOverParams::Builder::setAsked( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Node::HandOverParams::Builder::setAsked(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::HandOverParams::Builder::initAsked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Node::HandOverParams::Builder::adoptAsked(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Node::HandOverParams::Builder::disownAsked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Node::HandOverResults::Reader::hasRecord() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
