--- a/bench/steady.cpp
+++ b/bench/steady.cpp
@@ -66,8 +66,9 @@
         std::max(Cost.MegaBytes, residentBytes(Node.Process) / 1e6);
   }
   Cost.CorePercent = 100.0 * Processor / Seconds / Nodes;
+  // What one node sends another receives; a node spends both.
   Cost.BytesPerSecond =
-      static_cast<double>(loopbackBytes() - Bytes) / Seconds / Nodes;
+      2.0 * static_cast<double>(loopbackBytes() - Bytes) / Seconds / Nodes;
   Cost.PlatformCallsPerSecond =
       static_cast<double>(Fleet.Platform->calls() - Calls) / Seconds;
   return Cost;
--- a/bench/steady.h
+++ b/bench/steady.h
@@ -17,6 +17,7 @@
 /// Means over all nodes but the memory, which is the largest.
 struct steady_cost {
   double CorePercent = 0.0;
+  /// Sent and received.
   double BytesPerSecond = 0.0;
   double PlatformCallsPerSecond = 0.0;
   double MegaBytes = 0.0;
--- a/src/node/callerhttp.cpp
+++ b/src/node/callerhttp.cpp
@@ -48,8 +48,11 @@
 }
 
 /// A refusal that this node decided before anything was sent.
-work_answer refuseCall(refusal_reason Reason) {
-  return refuseWork(outcome::NotRun, Reason);
+/// NOTE Another entry may hold another configuration and take a copy of the
+/// same id, so of a request with an id this one cannot say that it will not
+/// run.
+work_answer refuseCall(refusal_reason Reason, bool HasId) {
+  return refuseWork(HasId ? outcome::Unknown : outcome::NotRun, Reason);
 }
 
 unsigned statusOf(const work_answer &Answer) {
@@ -136,6 +139,9 @@
 caller_service::parse(kj::HttpMethod Method, kj::StringPtr Url,
                       const kj::HttpHeaders &Received) {
   parsed_call Call;
+  Call.HasId =
+      execution::parseRequestId(headerText(Received, Headers.IdempotencyKey))
+          .has_value();
   std::string Path(Url.cStr(), Url.size());
   bool IsRound = Path.starts_with(RoundPrefix);
   bool IsWork = Path.starts_with(WorkPrefix);
@@ -309,7 +315,7 @@
 task<work_answer> caller_service::dispatch(parsed_call Call) {
   work_answer Answer;
   if (Call.Reason != refusal_reason::None) {
-    Answer = refuseCall(Call.Reason);
+    Answer = refuseCall(Call.Reason, Call.HasId);
   } else if (Call.IsRound) {
     Answer = co_await dispatchRound(kj::mv(Call));
   } else if (Call.Parent) {
@@ -324,7 +330,7 @@
 task<work_answer> caller_service::dispatchRound(parsed_call Call) {
   round_request Round;
   if (!readRound(Call.Request.Body, Round.Bodies)) {
-    co_return refuseCall(refusal_reason::MalformedRequest);
+    co_return refuseCall(refusal_reason::MalformedRequest, Call.HasId);
   }
   Round.Deadline = Call.RoundDeadline;
   Round.RequestDeadline = std::chrono::duration_cast<milliseconds>(
@@ -392,7 +398,7 @@
   framework::logEvent(
       framework::log_level::Info, "malformed_http",
       {{"status", Error.statusCode}, {"error", Error.description.cStr()}});
-  work_answer Answer = refuseCall(refusal_reason::MalformedRequest);
+  work_answer Answer = refuseCall(refusal_reason::MalformedRequest, false);
   Answer.Status = 0;
   return reply(Reply, Answer, "");
 }
--- a/src/node/callerhttp.h
+++ b/src/node/callerhttp.h
@@ -63,6 +63,8 @@
     std::uint32_t MaxBodyBytes = 0;
     std::shared_ptr<call_context> Parent;
     bool IsRound = false;
+    /// The caller named a valid id.
+    bool HasId = false;
     framework::monotonic_time RoundDeadline;
   };
 
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -327,12 +327,18 @@
       framework::hashFraction(framework::hashText(Node.Settings.RpcAddress));
   auto Patience = Node.ReaderSettings.SilenceLimit * (1.0 + Spread);
   bool Silent = Now.Monotonic - LastNews > Patience;
-  bool Wanted = !Node.Condition.Ready || Chosen || Silent;
+  // A node that starts asks its peers for the copy, and the platform only for
+  // what is newer, lest a zone that returns calls all at once.
+  auto PeersFirst = Settings.PeersFirst * (1.0 + Spread);
+  bool Starting =
+      !Node.Condition.Ready &&
+      (Node.Settings.Seeds.empty() || Now.Monotonic - Started > PeersFirst);
+  bool Wanted = Starting || (Node.Condition.Ready && Chosen) || Silent;
   if (Wanted != Reading) {
     Reading = Wanted;
     std::uint64_t Highest = configuration::highestRevision(Node.Store);
-    Reader->setActive(
-        Reading, Highest > Settings.ReadBack ? Highest - Settings.ReadBack : 0);
+    std::uint64_t Back = Node.Condition.Ready ? Settings.ReadBack : 0;
+    Reader->setActive(Reading, Highest > Back ? Highest - Back : 0);
     logEvent(log_level::Info, "reader", {{"active", Reading ? "yes" : "no"}});
   }
 }
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -32,6 +32,9 @@
   std::size_t MaxExchangeBytes = std::size_t{256} * 1024;
   /// Revisions that a new reader asks for again, to find missed ones.
   std::uint64_t ReadBack = 1'000;
+  /// Time after the start in which peers are asked before the platform, spread
+  /// over as much again.
+  framework::milliseconds PeersFirst{250};
   /// Time after the start in which both platform and peers are waited for.
   framework::milliseconds StartupWait{1'500};
 };
--- a/src/node/tests/path_tests.cpp
+++ b/src/node/tests/path_tests.cpp
@@ -194,6 +194,11 @@
     return !Reason.empty();
   }));
   STRCMP_EQUAL("no_configuration", Reason.c_str());
+  // Another entry may take a copy of the same id.
+  httplib::Headers WithKey = organisationAlpha();
+  WithKey.emplace("Idempotency-Key", newKey());
+  auto Keyed = Client.Post("/work/charge", WithKey, "x", "text/plain");
+  STRCMP_EQUAL("unknown", Keyed->get_header_value("Figplank-Outcome").c_str());
   Fleet.Platform->setMode(standins::platform_mode::Up);
   CHECK(Fleet.awaitReady());
   load_generator Callers({Fleet.Nodes[0].Http});
