--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -312,6 +312,7 @@
   }
   standins::load_generator Callers(Fleet.entries());
   std::vector<std::thread> Threads;
+  Threads.reserve(Batches);
   std::vector<std::string> Outcomes(Batches);
   for (int Batch = 0; Batch < Batches; ++Batch) {
     Threads.emplace_back([&, Batch]() {
--- a/src/client/caller.cpp
+++ b/src/client/caller.cpp
@@ -56,8 +56,7 @@
       {"Figplank-Attempt", std::to_string(Attempt)},
       {"Idempotency-Key", Key}};
   std::string Path = "/work/" + Request.Template;
-  auto Result = Client.Post(Path.c_str(), Headers, Request.Body,
-                            Request.ContentType.c_str());
+  auto Result = Client.Post(Path, Headers, Request.Body, Request.ContentType);
   call_answer Answer;
   if (Result) {
     Answer = readAnswer(*Result);
--- a/src/execution/requestid.h
+++ b/src/execution/requestid.h
@@ -17,6 +17,7 @@
 struct request_id {
   std::array<std::uint8_t, 16> Bytes{};
 
+  // NOLINTNEXTLINE(readability-identifier-naming): of the generated function.
   auto operator<=>(const request_id &) const = default;
 };
 
--- a/src/framework/coroutine.h
+++ b/src/framework/coroutine.h
@@ -169,16 +169,27 @@
   kj::PromiseFulfiller<Value> *Fulfiller = nullptr;
 
   task<Value> get_return_object() { return makeTask<Value>(*this); }
-  void return_value(Value Result) { Fulfiller->fulfill(kj::mv(Result)); }
-  void unhandled_exception() { Fulfiller->reject(currentException()); }
+  void return_value(Value Result) {
+    Fulfiller->fulfill(
+        kj::mv(Result)); // NOLINT(clang-analyzer-core.CallAndMessage)
+  }
+  void unhandled_exception() {
+    Fulfiller->reject(
+        currentException()); // NOLINT(clang-analyzer-core.CallAndMessage)
+  }
 };
 
 template <> struct coroutine_promise<void> : coroutine_state {
   kj::PromiseFulfiller<void> *Fulfiller = nullptr;
 
   task<void> get_return_object() { return makeTask<void>(*this); }
-  void return_void() { Fulfiller->fulfill(); }
-  void unhandled_exception() { Fulfiller->reject(currentException()); }
+  void return_void() {
+    Fulfiller->fulfill(); // NOLINT(clang-analyzer-core.CallAndMessage)
+  }
+  void unhandled_exception() {
+    Fulfiller->reject(
+        currentException()); // NOLINT(clang-analyzer-core.CallAndMessage)
+  }
 };
 
 } // namespace figplank::framework::detail
--- a/src/membership/tests/readers_tests.cpp
+++ b/src/membership/tests/readers_tests.cpp
@@ -15,6 +15,7 @@
 
 std::vector<std::string> hundredMembers() {
   std::vector<std::string> Members;
+  Members.reserve(100);
   for (int I = 0; I < 100; ++I) {
     Members.push_back("127.0.0.1:" + std::to_string(1'000 + I));
   }
