--- a/cmake/figplank_module.cmake
+++ b/cmake/figplank_module.cmake
@@ -17,3 +17,10 @@
     FIGPLANK_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/data")
   add_test(NAME ${NAME} COMMAND ${NAME}_tests -v)
 endfunction()
+
+# Adds the folder `tests` of a module, unless tests are left out.
+function(figplank_test_folder)
+  if(FIGPLANK_TESTS)
+    add_subdirectory(tests)
+  endif()
+endfunction()
--- a/src/configuration/configurationtypes.h
+++ b/src/configuration/configurationtypes.h
@@ -91,12 +91,71 @@
   std::string Service;
   std::string Name;
   std::string Zone;
+  /// Of the node's RPC port.
   std::string Address;
   instance_state State = instance_state::Live;
+  /// Of the backend server itself; empty where only its node is published.
+  std::string BackendAddress;
+  /// Concurrent requests that this backend server takes; 0 where the service
+  /// says it.
+  std::uint32_t Slots = 0;
+  /// When the backend server started, in milliseconds since the Unix epoch; 0
+  /// where it isn't published. Tells a restart under the same name.
+  std::uint64_t BornMs = 0;
+  /// Time after its start for which the backend server is slow.
+  std::uint32_t ColdMs = 0;
 
   bool operator==(const instance &) const = default;
 };
 
+/// One of the services that a route divides its requests among.
+struct route_backend {
+  std::string Service;
+  std::uint32_t Weight = 1;
+
+  bool operator==(const route_backend &) const = default;
+};
+
+/// Where requests for a host and the paths below a prefix go, and how they are
+/// treated. Unlike a template, a route passes requests and answers unchanged.
+struct route {
+  std::string Name;
+  /// In lower case and without a port.
+  std::string Host;
+  /// Begins and ends with a slash.
+  std::string Prefix;
+  bool Idempotent = true;
+  /// Upstreams that one request may be sent to.
+  std::uint8_t Attempts = 1;
+  /// Longest time that a caller is kept waiting.
+  framework::milliseconds Timeout{0};
+  /// Time within which an answer is worth most to the caller.
+  framework::milliseconds Objective{0};
+  std::uint8_t Rank = 0;
+  std::vector<route_backend> Backends;
+
+  bool operator==(const route &) const = default;
+};
+
+/// Bounds of what callers of routes may send.
+struct caller_limits {
+  std::uint32_t MaxHeaderBytes = 16U << 10U;
+  std::uint32_t MaxBodyBytes = 64U << 20U;
+  framework::milliseconds HeaderTimeout{3'000};
+  framework::milliseconds IdleTimeout{15'000};
+
+  bool operator==(const caller_limits &) const = default;
+};
+
+/// All routes, published as one value under `routing/current`.
+struct route_table {
+  std::uint64_t Version = 0;
+  std::vector<route> Routes;
+  caller_limits Limits;
+
+  bool operator==(const route_table &) const = default;
+};
+
 /// A template as one organisation uses it.
 struct effective_work {
   std::string Template;
--- a/src/configuration/store.cpp
+++ b/src/configuration/store.cpp
@@ -45,6 +45,8 @@
     Catalog.Templates.erase(Rest);
   } else if (Kind == "services") {
     Catalog.Services.erase(Rest);
+  } else if (Kind == "routing") {
+    Catalog.Routing = route_table();
   } else if (Second != std::string::npos && Kind == "parameters") {
     eraseNested(Catalog.Parameters, Rest.substr(0, Second),
                 Rest.substr(Second + 1));
@@ -70,6 +72,7 @@
   void operator()(const instance &Value) const {
     Catalog.Instances[Value.Service][Value.Name] = Value;
   }
+  void operator()(const route_table &Value) const { Catalog.Routing = Value; }
 };
 
 template <typename Number>
--- a/src/configuration/store.h
+++ b/src/configuration/store.h
@@ -38,6 +38,7 @@
   text_map<service_settings> Services;
   /// By service, then instance.
   text_map<text_map<instance>> Instances;
+  route_table Routing;
 };
 
 /// The newest revision of a key that was refused.
--- a/src/configuration/validation.cpp
+++ b/src/configuration/validation.cpp
@@ -3,6 +3,8 @@
 #include "configuration/jsonreader.h"
 #include "framework/settings.h"
 
+#include <algorithm>
+#include <cctype>
 #include <set>
 
 namespace figplank::configuration {
@@ -17,6 +19,13 @@
 constexpr std::size_t MaxPrevious = 8;
 constexpr std::uint32_t MaxSlots = 100'000;
 constexpr std::uint32_t MaxTemplateBodyBytes = 8U << 20U;
+constexpr std::uint32_t MaxColdMs = 3'600'000;
+constexpr double MaxUnixMs = 1e15;
+constexpr std::uint32_t MaxTimeoutMs = 3'600'000;
+constexpr std::uint32_t MaxAttempts = 10;
+constexpr std::uint32_t MaxWeight = 1'000'000;
+constexpr std::uint32_t MaxCallerBodyBytes = 1U << 30U;
+constexpr double MaxVersion = 1e15;
 constexpr double MaxMinimumShare = 0.5;
 constexpr double DefaultMinimumShare = 0.05;
 constexpr std::uint32_t DefaultMaxBodyBytes = 1U << 20U;
@@ -196,7 +205,8 @@
 
 parsed_value readInstance(json_reader &Reader, const std::string &Service,
                           const std::string &Name) {
-  refuseUnknownMembers(Reader, {"zone", "address", "state"});
+  refuseUnknownMembers(Reader, {"zone", "address", "state", "backend_address",
+                                "slots", "born_ms", "cold_ms"});
   instance Instance;
   Instance.Service = Service;
   Instance.Name = Name;
@@ -208,9 +218,135 @@
     addFinding(Reader, "state", "must be live or leaving");
   }
   Instance.State = Known.value_or(instance_state::Live);
+  Instance.BackendAddress =
+      readText(Reader, "backend_address", MaxNameLength, false).value_or("");
+  Instance.Slots = readWhole(Reader, "slots", 1, MaxSlots, false).value_or(0);
+  Instance.ColdMs =
+      readWhole(Reader, "cold_ms", 0, MaxColdMs, false).value_or(0);
+  auto Born = readNumber(Reader, "born_ms", 0.0, MaxUnixMs, false);
+  Instance.BornMs = static_cast<std::uint64_t>(Born.value_or(0.0));
   return Instance;
 }
 
+std::vector<route_backend> readRouteBackends(json_reader &Parent) {
+  std::vector<route_backend> Backends;
+  auto Found = Parent.Object.find("backends");
+  if (Found == Parent.Object.end() || !Found->is_array() || Found->empty()) {
+    addFinding(Parent, "backends", "must be a list of one or more services");
+    return Backends;
+  }
+  std::uint64_t Total = 0;
+  for (std::size_t I = 0; I < Found->size(); ++I) {
+    json_reader Reader{(*Found)[I],
+                       Parent.Place + "/backends/" + std::to_string(I),
+                       Parent.Findings};
+    if (!requireObject(Reader)) {
+      continue;
+    }
+    refuseUnknownMembers(Reader, {"service", "weight"});
+    route_backend Backend;
+    Backend.Service =
+        readText(Reader, "service", MaxNameLength, true).value_or("");
+    Backend.Weight =
+        readWhole(Reader, "weight", 0, MaxWeight, true).value_or(0);
+    Total += Backend.Weight;
+    Backends.push_back(std::move(Backend));
+  }
+  if (Total == 0) {
+    addFinding(Parent, "backends", "must have a weight above 0");
+  }
+  return Backends;
+}
+
+route readRoute(json_reader &Reader) {
+  refuseUnknownMembers(Reader,
+                       {"name", "host", "prefix", "idempotent", "attempts",
+                        "timeout_ms", "objective_ms", "rank", "backends"});
+  route Route;
+  Route.Name = readText(Reader, "name", MaxNameLength, true).value_or("");
+  Route.Host =
+      normalizeHost(readText(Reader, "host", MaxPathLength, true).value_or(""));
+  Route.Prefix = readText(Reader, "prefix", MaxPathLength, true).value_or("/");
+  if (Route.Prefix.front() != '/' || Route.Prefix.back() != '/') {
+    addFinding(Reader, "prefix", "must begin and end with /");
+  }
+  Route.Idempotent = readBoolean(Reader, "idempotent", true).value_or(false);
+  Route.Attempts = static_cast<std::uint8_t>(
+      readWhole(Reader, "attempts", 1, MaxAttempts, true).value_or(1));
+  Route.Timeout = framework::milliseconds(
+      readWhole(Reader, "timeout_ms", 1, MaxTimeoutMs, true).value_or(1));
+  Route.Objective = framework::milliseconds(
+      readWhole(Reader, "objective_ms", 1, MaxTimeoutMs, true).value_or(1));
+  Route.Rank = static_cast<std::uint8_t>(
+      readWhole(Reader, "rank", 0, RankCount - 1, true).value_or(0));
+  Route.Backends = readRouteBackends(Reader);
+  return Route;
+}
+
+std::vector<route> readRoutes(json_reader &Parent) {
+  std::vector<route> Routes;
+  auto Found = Parent.Object.find("routes");
+  if (Found == Parent.Object.end() || !Found->is_array()) {
+    addFinding(Parent, "routes", "must be a list of routes");
+    return Routes;
+  }
+  std::set<std::pair<std::string, std::string>> Places;
+  for (std::size_t I = 0; I < Found->size(); ++I) {
+    json_reader Reader{(*Found)[I],
+                       Parent.Place + "/routes/" + std::to_string(I),
+                       Parent.Findings};
+    if (!requireObject(Reader)) {
+      continue;
+    }
+    route Route = readRoute(Reader);
+    if (!Places.emplace(Route.Host, Route.Prefix).second) {
+      addFinding(Reader, "prefix", "stands twice for the same host");
+    }
+    Routes.push_back(std::move(Route));
+  }
+  return Routes;
+}
+
+caller_limits readCallerLimits(json_reader &Parent) {
+  caller_limits Limits;
+  auto Found = Parent.Object.find("limits");
+  if (Found == Parent.Object.end()) {
+    return Limits;
+  }
+  json_reader Reader{*Found, Parent.Place + "/limits", Parent.Findings};
+  if (!requireObject(Reader)) {
+    return Limits;
+  }
+  refuseUnknownMembers(Reader, {"max_header_bytes", "max_body_bytes",
+                                "header_timeout_ms", "idle_timeout_ms"});
+  auto Read = [&](std::string_view Name, std::uint32_t Most,
+                  std::uint32_t Default) {
+    return readWhole(Reader, Name, 1, Most, false).value_or(Default);
+  };
+  auto Milliseconds = [](framework::milliseconds Time) {
+    return static_cast<std::uint32_t>(Time.count());
+  };
+  Limits.MaxHeaderBytes =
+      Read("max_header_bytes", MaxTemplateBodyBytes, Limits.MaxHeaderBytes);
+  Limits.MaxBodyBytes =
+      Read("max_body_bytes", MaxCallerBodyBytes, Limits.MaxBodyBytes);
+  Limits.HeaderTimeout = framework::milliseconds(Read(
+      "header_timeout_ms", MaxTimeoutMs, Milliseconds(Limits.HeaderTimeout)));
+  Limits.IdleTimeout = framework::milliseconds(
+      Read("idle_timeout_ms", MaxTimeoutMs, Milliseconds(Limits.IdleTimeout)));
+  return Limits;
+}
+
+parsed_value readRouteTable(json_reader &Reader) {
+  refuseUnknownMembers(Reader, {"version", "routes", "limits"});
+  route_table Table;
+  auto Version = readNumber(Reader, "version", 0.0, MaxVersion, true);
+  Table.Version = static_cast<std::uint64_t>(Version.value_or(0.0));
+  Table.Routes = readRoutes(Reader);
+  Table.Limits = readCallerLimits(Reader);
+  return Table;
+}
+
 bool areNames(const std::vector<std::string> &Parts) {
   for (const std::string &Part : Parts) {
     if (!isName(Part)) {
@@ -222,6 +358,13 @@
 
 } // namespace
 
+std::string normalizeHost(std::string_view Host) {
+  std::string Name(Host.substr(0, Host.rfind(':')));
+  std::transform(Name.begin(), Name.end(), Name.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Name;
+}
+
 validation_result validateValue(std::string_view Key, std::string_view Value) {
   validation_result Result;
   std::string Place(Key);
@@ -254,11 +397,13 @@
     Result.Value = readService(Reader, Parts[1]);
   } else if (Parts[0] == "instances" && Parts.size() == 3) {
     Result.Value = readInstance(Reader, Parts[1], Parts[2]);
+  } else if (Parts[0] == "routing" && Parts.size() == 2) {
+    Result.Value = readRouteTable(Reader);
   } else {
     Result.Findings.push_back(
         {Place, "",
          "the key must be templates/NAME, parameters/ORGANISATION/TEMPLATE, "
-         "services/NAME or instances/SERVICE/NAME"});
+         "services/NAME, instances/SERVICE/NAME or routing/current"});
   }
   return Result;
 }
--- a/src/configuration/validation.h
+++ b/src/configuration/validation.h
@@ -6,14 +6,16 @@
 #include "configuration/configurationtypes.h"
 #include "framework/findings.h"
 
+#include <string>
 #include <string_view>
 #include <variant>
 
 namespace figplank::configuration {
 
 /// A parsed value; monostate where findings made parsing pointless.
-using parsed_value = std::variant<std::monostate, work_template,
-                                  work_parameters, service_settings, instance>;
+using parsed_value =
+    std::variant<std::monostate, work_template, work_parameters,
+                 service_settings, instance, route_table>;
 
 /// A parsed value with all problems found in it. Without findings the value
 /// is acceptable.
@@ -22,6 +24,9 @@
   framework::findings Findings;
 };
 
+/// The host in lower case and without its port.
+std::string normalizeHost(std::string_view Host);
+
 /// Longest accepted value in bytes, the platform's own limit.
 inline constexpr std::size_t MaxValueBytes = std::size_t{1} << 20U;
 
--- a/src/framework/outcome.h
+++ b/src/framework/outcome.h
@@ -57,6 +57,9 @@
   WokeLate,
   RoundTooLarge,
   ChildRefused,
+  UnknownRoute,
+  /// Another incarnation of a backend server has the address.
+  WrongInstance,
 };
 
 /// A row of the table of refusal reasons: its name and the HTTP status that
@@ -67,7 +70,7 @@
   std::uint16_t Status;
 };
 
-inline constexpr std::array<refusal_row, 30> RefusalTable{{
+inline constexpr std::array<refusal_row, 32> RefusalTable{{
     {refusal_reason::None, "none", 200},
     {refusal_reason::MalformedRequest, "malformed_request", 400},
     {refusal_reason::BodyTooLarge, "body_too_large", 413},
@@ -98,6 +101,8 @@
     {refusal_reason::WokeLate, "woke_late", 503},
     {refusal_reason::RoundTooLarge, "round_too_large", 503},
     {refusal_reason::ChildRefused, "child_refused", 503},
+    {refusal_reason::UnknownRoute, "unknown_route", 404},
+    {refusal_reason::WrongInstance, "wrong_instance", 503},
 }};
 
 /// The row of \p Reason; rows stand in the order of the enumerators.
--- a/src/framework/settings.cpp
+++ b/src/framework/settings.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <fstream>
 #include <sstream>
 
 namespace figplank::framework {
@@ -104,6 +105,34 @@
   }
 }
 
+/// Reads `name = value` lines. Names that are no settings are left to newer
+/// versions, since the file may be written for them.
+void readFile(given_settings &Given, const std::vector<setting_spec> &Specs) {
+  auto Path = Given.Values.find(SettingsFileFlag);
+  if (Path == Given.Values.end() || Path->second.Value.empty()) {
+    return;
+  }
+  std::ifstream File(Path->second.Value);
+  if (!File) {
+    Given.Findings.push_back(
+        {Path->second.Place, Path->second.Value, "cannot be read"});
+    return;
+  }
+  try {
+    auto Parsed = options::parse_config_file(File, describe(Specs), true);
+    for (const options::option &Option : Parsed.options) {
+      if (!Option.unregistered && !Option.value.empty()) {
+        Given.Values.try_emplace(
+            Option.string_key,
+            given_setting{Option.value.front(),
+                          Path->second.Value + ": " + Option.string_key});
+      }
+    }
+  } catch (const options::error &Error) {
+    Given.Findings.push_back({Path->second.Value, "", Error.what()});
+  }
+}
+
 void addFinding(given_settings &Given, std::string_view Name,
                 std::string Problem) {
   const given_setting &Setting = Given.Values.find(Name)->second;
@@ -118,6 +147,7 @@
   given_settings Given;
   readFlags(Given, Arguments, Specs);
   readEnvironment(Given, Prefix, Specs);
+  readFile(Given, Specs);
   for (const setting_spec &Spec : Specs) {
     bool Missing = Given.Values.count(Spec.Name) == 0;
     if (Missing && Spec.Required) {
--- a/src/framework/settings.h
+++ b/src/framework/settings.h
@@ -14,6 +14,10 @@
 
 namespace figplank::framework {
 
+/// A program with this setting also reads `name = value` lines from the file
+/// that it names; flags and variables win.
+inline constexpr const char *SettingsFileFlag = "settings-file";
+
 /// One setting of a program.
 struct setting_spec {
   std::string Name;
--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -1,6 +1,7 @@
 #include "node/backend.h"
 
 #include "framework/httpheaders.h"
+#include "node/forwardpool.h"
 
 #include <charconv>
 
@@ -43,8 +44,31 @@
 
 } // namespace
 
-backend_client::backend_client(node_runtime &Node)
-    : Node(Node), Headers(makeHeaders()) {}
+backend_client::backend_client(node_runtime &Node, const wire_dialect *Dialect)
+    : Node(Node), Headers(makeHeaders()) {
+  if (Dialect != nullptr) {
+    Forwards = std::make_unique<forward_pool>(Node, *Dialect);
+  }
+}
+
+backend_client::~backend_client() = default;
+
+kj::Promise<backend_answer> backend_client::forward(const work_request &Request,
+                                                    std::uint32_t RemainingMs) {
+  KJ_REQUIRE(Forwards != nullptr, "this node has no routes");
+  return Forwards->send(Request, RemainingMs);
+}
+
+std::uint64_t backend_client::connects() const {
+  return Connects + (Forwards == nullptr ? 0 : Forwards->connects());
+}
+
+void backend_client::dropIdle() {
+  Idle.clear();
+  if (Forwards != nullptr) {
+    Forwards->dropIdle();
+  }
+}
 
 task<kj::Own<kj::AsyncIoStream>> backend_client::open() {
   kj::Own<kj::NetworkAddress> Address =
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -6,11 +6,13 @@
 /// another request's.
 #pragma once
 
+#include "http/message.h"
 #include "node/runtime.h"
 
 #include <kj/compat/http.h>
 
 #include <deque>
+#include <memory>
 #include <string>
 
 namespace figplank::node {
@@ -34,6 +36,8 @@
   Answered,
   /// It says that the request was never started.
   Shed,
+  /// Another incarnation has the address; the request was never started.
+  WrongInstance,
   /// No connection could be made, so nothing was sent.
   Unreachable,
   /// The connection ended before the answer did.
@@ -44,6 +48,7 @@
   backend_result Result = backend_result::Lost;
   std::uint16_t Status = 0;
   std::string ContentType;
+  http::header_list Headers;
   std::string Body;
   framework::milliseconds RetryAfter{0};
   /// The backend server announced that it leaves.
@@ -67,20 +72,30 @@
   kj::HttpHeaderId Draining;
 };
 
+struct wire_dialect;
+struct work_request;
+class forward_pool;
+
 class backend_client {
 public:
-  explicit backend_client(node_runtime &Node);
+  /// \p Dialect serves requests of routes; null where there are none.
+  backend_client(node_runtime &Node, const wire_dialect *Dialect);
+  ~backend_client();
   KJ_DISALLOW_COPY(backend_client);
 
   /// Sends \p Request. Dropping the promise closes the connection, which
   /// tells the backend server to stop.
   task<backend_answer> send(backend_request Request);
 
+  /// Sends a request of a route, with \p RemainingMs left.
+  kj::Promise<backend_answer> forward(const work_request &Request,
+                                      std::uint32_t RemainingMs);
+
   /// Connections made so far, probes not counted.
-  std::uint64_t connects() const { return Connects; }
+  std::uint64_t connects() const;
 
   /// Closes the connections that wait for a request.
-  void dropIdle() { Idle.clear(); }
+  void dropIdle();
 
   /// Whether a connection can be made now.
   task<bool> probe();
@@ -100,6 +115,7 @@
   node_runtime &Node;
   backend_headers Headers;
   std::deque<connection> Idle;
+  std::unique_ptr<forward_pool> Forwards;
   std::uint64_t Connects = 0;
 };
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -3,10 +3,12 @@
 #include "framework/kjlog.h"
 #include "node/admin.h"
 #include "node/callerhttp.h"
+#include "node/gateway.h"
 #include "node/rpcservice.h"
 
 #include <kj/async-unix.h>
 
+#include <algorithm>
 #include <csignal>
 
 namespace figplank::node {
@@ -24,10 +26,12 @@
 
 /// All parts of a running node, in the order of their construction.
 struct node_parts {
-  node_parts(const node_settings &Settings, kj::AsyncIoContext &Io)
-      : Node(Settings, Io), Peers(Node), Upstream(Node, Peers),
-        Dissemination(Node, Peers, Mailbox), Dispatcher(Node, Peers, Upstream),
-        Rounds(Node, Dispatcher),
+  node_parts(const node_settings &Settings, const deployment &Deployment,
+             kj::AsyncIoContext &Io)
+      : Node(Settings, Io), Peers(Node),
+        Upstream(Node, Peers, Deployment.Dialect),
+        Dissemination(Node, Peers, Mailbox, Deployment.makeSource(Settings)),
+        Dispatcher(Node, Peers, Upstream), Rounds(Node, Dispatcher),
         Callers(Node, Dispatcher, Rounds, Upstream.Contexts),
         Rpc(kj::heap<rpc_service>(Node, Upstream, Dissemination)),
         Admin(Node, Mailbox,
@@ -37,7 +41,29 @@
             [this](kj::AsyncIoStream &Stream) {
               return Callers.serveConnection(Stream);
             },
-            httpSettings(Callers)) {}
+            httpSettings(Callers)),
+        Ready(Node.Timer, [this, &Deployment](http::request Request) {
+          return answerReady(Deployment, Request);
+        }) {
+    if (Deployment.Dialect != nullptr) {
+      Gateway = kj::heap<gateway>(Node, Dispatcher, Upstream.Contexts,
+                                  *Deployment.Dialect);
+    }
+  }
+
+  kj::Promise<http::response> answerReady(const deployment &Deployment,
+                                          const http::request &Request) {
+    constexpr std::uint16_t Ok = 200;
+    constexpr std::uint16_t NotFound = 404;
+    constexpr std::uint16_t ServiceUnavailable = 503;
+    http::response Response;
+    bool Takes = Node.Condition.Ready && !Node.Condition.Draining;
+    Response.Status = Takes ? Ok : ServiceUnavailable;
+    if (http::pathOf(Request.Target) != Deployment.ReadyPath) {
+      Response.Status = NotFound;
+    }
+    return kj::mv(Response);
+  }
 
   static kj::HttpServerSettings httpSettings(caller_service &Callers) {
     kj::HttpServerSettings Settings;
@@ -61,8 +87,21 @@
   capnp::TwoPartyServer Rpc;
   admin_server Admin;
   kj::HttpServer Http;
+  http::server Ready;
+  kj::Own<gateway> Gateway;
 };
 
+/// Applies the published limits of what callers of routes may send.
+void applyCallerLimits(node_parts &Parts) {
+  const configuration::caller_limits &Published =
+      Parts.Node.Store.Catalog.Routing.Limits;
+  http::server_limits Limits;
+  Limits.Parser = {Published.MaxHeaderBytes, Published.MaxBodyBytes};
+  Limits.HeaderTimeout = Published.HeaderTimeout;
+  Limits.IdleTimeout = Published.IdleTimeout;
+  Parts.Gateway->Server.setLimits(Limits);
+}
+
 void wake(node_parts &Parts, milliseconds Paused) {
   Parts.Node.Metrics.Pauses->Increment();
   logEvent(log_level::Warning, "woke_after_pause", {{"ms", Paused.count()}});
@@ -87,6 +126,9 @@
   Parts.Upstream.tick(Now.Monotonic);
   Parts.Dissemination.tick(Now);
   updateGauges(Parts);
+  if (Parts.Gateway.get() != nullptr) {
+    applyCallerLimits(Parts);
+  }
 }
 
 task<void> tickLoop(node_parts &Parts) {
@@ -96,20 +138,42 @@
   }
 }
 
+task<kj::Own<kj::ConnectionReceiver>> open(node_runtime &Node,
+                                           std::string Address) {
+  kj::Own<kj::NetworkAddress> Parsed =
+      co_await Node.Network.parseAddress(Address.c_str());
+  co_return Parsed->listen();
+}
+
+/// Opens the ports that the settings name and serves them until one fails.
 task<void> listen(node_parts &Parts) {
   node_runtime &Node = Parts.Node;
-  kj::Own<kj::NetworkAddress> Http =
-      co_await Node.Network.parseAddress(Node.Settings.HttpAddress.c_str());
-  kj::Own<kj::NetworkAddress> Rpc = co_await Node.Network.parseAddress(
-      Node.Settings.RpcListenAddress.c_str());
-  kj::Own<kj::ConnectionReceiver> HttpPort = Http->listen();
-  kj::Own<kj::ConnectionReceiver> RpcPort = Rpc->listen();
-  logEvent(
-      log_level::Info, "listening",
-      {{"http", Node.Settings.HttpAddress}, {"rpc", Node.Settings.RpcAddress}});
-  kj::Promise<void> Both = Parts.Http.listenHttp(*HttpPort).exclusiveJoin(
-      Parts.Rpc.listen(*RpcPort));
-  co_await kj::mv(Both);
+  const node_settings &Settings = Node.Settings;
+  kj::Own<kj::ConnectionReceiver> RpcPort =
+      co_await open(Node, Settings.RpcListenAddress);
+  kj::Own<kj::ConnectionReceiver> HttpPort;
+  kj::Own<kj::ConnectionReceiver> RoutePort;
+  kj::Own<kj::ConnectionReceiver> ReadyPort;
+  kj::Promise<void> All = Parts.Rpc.listen(*RpcPort);
+  if (!Settings.HttpAddress.empty()) {
+    HttpPort = co_await open(Node, Settings.HttpAddress);
+    // A port that drains ends its promise; the node goes on.
+    All = All.exclusiveJoin(Parts.Http.listenHttp(*HttpPort).then(
+        []() -> kj::Promise<void> { return kj::NEVER_DONE; }));
+  }
+  if (Parts.Gateway.get() != nullptr) {
+    RoutePort = co_await open(Node, Settings.RouteAddress);
+    All = All.exclusiveJoin(Parts.Gateway->Server.listen(*RoutePort));
+  }
+  if (!Settings.ReadyAddress.empty()) {
+    ReadyPort = co_await open(Node, Settings.ReadyAddress);
+    All = All.exclusiveJoin(Parts.Ready.listen(*ReadyPort));
+  }
+  logEvent(log_level::Info, "listening",
+           {{"http", Settings.HttpAddress},
+            {"routes", Settings.RouteAddress},
+            {"rpc", Settings.RpcAddress}});
+  co_await kj::mv(All);
 }
 
 task<void> awaitSignal(kj::UnixEventPort &Port) {
@@ -118,6 +182,28 @@
   (void)co_await kj::mv(Either);
 }
 
+/// How long a node with routes goes on taking requests after the signal: the
+/// platform needs two misses of its question each second to send none.
+constexpr milliseconds RouteLameDuck{2'300};
+/// Time before the end of the grace at which the last connections are closed.
+constexpr milliseconds CloseMargin{500};
+
+/// Serves the requests of routes that still arrive, then closes the callers'
+/// connections.
+task<void> drainRoutes(node_parts &Parts, framework::monotonic_time End) {
+  node_runtime &Node = Parts.Node;
+  framework::monotonic_time Quiet =
+      std::min(readClocks().Monotonic + RouteLameDuck, End - CloseMargin);
+  while (readClocks().Monotonic < Quiet) {
+    co_await Node.Timer.afterDelay(toDuration(TickInterval));
+  }
+  Parts.Gateway->Server.closeConnections();
+  while (readClocks().Monotonic < End &&
+         Parts.Gateway->Server.unanswered() > 0) {
+    co_await Node.Timer.afterDelay(toDuration(TickInterval));
+  }
+}
+
 /// Refuses new work, tells the service's nodes, and waits for the requests in
 /// flight.
 task<void> drain(node_parts &Parts) {
@@ -131,7 +217,11 @@
   kj::Promise<void> Finished = Parts.Http.drain();
   bool HttpDone = false;
   Node.Tasks.add(Finished.then([&HttpDone]() { HttpDone = true; }));
-  framework::monotonic_time End = readClocks().Monotonic + Node.Settings.Grace;
+  framework::monotonic_time End =
+      readClocks().Monotonic + Node.Settings.Grace - CloseMargin;
+  if (Parts.Gateway.get() != nullptr) {
+    co_await drainRoutes(Parts, End);
+  }
   while (readClocks().Monotonic < End &&
          (Parts.Upstream.unfinished() > 0 || !HttpDone)) {
     co_await Node.Timer.afterDelay(toDuration(TickInterval));
@@ -142,24 +232,61 @@
              static_cast<std::uint64_t>(Parts.Upstream.unfinished())}});
 }
 
+/// Logs that the settings file has changed. Seeds are the only setting that may
+/// change while the node runs.
+task<void> reloadLoop(node_parts &Parts, const deployment &Deployment,
+                      kj::UnixEventPort &Port) {
+  constexpr milliseconds LookInterval{1'000};
+  node_runtime &Node = Parts.Node;
+  while (true) {
+    bool Signalled = false;
+    kj::Promise<void> Hangup = Port.onSignal(SIGHUP).then(
+        [&Signalled](siginfo_t &&) { Signalled = true; });
+    co_await Hangup.exclusiveJoin(
+        Node.Timer.afterDelay(toDuration(LookInterval)));
+    node_settings Changed = Node.Settings;
+    if (!Deployment.Reload || !Deployment.Reload(Changed)) {
+      continue;
+    }
+    bool Differs = Changed.Seeds != Node.Settings.Seeds;
+    Node.Settings.Seeds = Changed.Seeds;
+    if (Signalled || Differs) {
+      logEvent(log_level::Info, "settings_reloaded",
+               {{"signal", Signalled ? "yes" : "no"},
+                {"seeds", static_cast<std::uint64_t>(Changed.Seeds.size())}});
+    }
+  }
+}
+
 } // namespace
 
-int runNode(const node_settings &Settings) {
+platform_source deployment::makeSource(const node_settings &Settings) const {
+  if (Settings.PlatformAddress.empty()) {
+    return {};
+  }
+  return Source ? Source(Settings)
+                : watchSource(Settings.PlatformAddress, Settings.SourceIp);
+}
+
+int runNode(const node_settings &Settings, const deployment &Deployment) {
   kj::UnixEventPort::captureSignal(SIGTERM);
   kj::UnixEventPort::captureSignal(SIGINT);
+  kj::UnixEventPort::captureSignal(SIGHUP);
   framework::kj_log_router KjLog;
   kj::AsyncIoContext Io = kj::setupAsyncIo();
   try {
-    node_parts Parts(Settings, Io);
+    node_parts Parts(Settings, Deployment, Io);
     Parts.Node.OnPause = [&Parts](milliseconds Paused) { wake(Parts, Paused); };
     kj::Promise<void> Ticks = tickLoop(Parts);
     kj::Promise<void> Listening = listen(Parts);
+    kj::Promise<void> Reloads = reloadLoop(Parts, Deployment, Io.unixEventPort);
     kj::Promise<void> Signal = awaitSignal(Io.unixEventPort);
-    kj::Promise<void> Running = Signal.exclusiveJoin(kj::mv(Listening));
-    Running.exclusiveJoin(kj::mv(Ticks)).wait(Io.waitScope);
-    kj::Promise<void> LastTicks = tickLoop(Parts);
-    kj::Promise<void> Draining = drain(Parts);
-    Draining.exclusiveJoin(kj::mv(LastTicks)).wait(Io.waitScope);
+    // The ports stay open and the ticks go on until the node has drained.
+    kj::Promise<void> Serving =
+        Listening.exclusiveJoin(kj::mv(Ticks)).exclusiveJoin(kj::mv(Reloads));
+    kj::Promise<void> Draining =
+        Signal.then([&Parts]() -> kj::Promise<void> { return drain(Parts); });
+    Draining.exclusiveJoin(kj::mv(Serving)).wait(Io.waitScope);
   } catch (const kj::Exception &Exception) {
     logEvent(log_level::Error, "node_failed",
              {{"error", Exception.getDescription().cStr()}});
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -39,10 +39,22 @@
   return Node.Allowances[Service];
 }
 
+milliseconds dispatcher::retryAfter(milliseconds Objective) {
+  // Spread over as much again, so that refused callers do not return together.
+  constexpr milliseconds Usual{200};
+  constexpr double MostSpread = 4.0;
+  constexpr int ObjectiveParts = 4;
+  if (Objective.count() > 0) {
+    auto Base = static_cast<double>(Objective.count()) / ObjectiveParts;
+    return milliseconds(static_cast<std::int64_t>(Base * (1 + Node.draw())));
+  }
+  return Usual + milliseconds(static_cast<std::int64_t>(
+                     MostSpread * Usual.count() * Node.draw()));
+}
+
 task<work_answer> dispatcher::dispatchRoot(work_request Request) {
   if (!Node.Condition.Ready) {
-    co_return refuseWork(Request.Idempotent ? outcome::NotRun
-                                            : outcome::Unknown,
+    co_return refuseWork(refusalOutcome(Request),
                          refusal_reason::NoConfiguration);
   }
   bool Coordinated = Node.Settings.Admission == admission_mode::Coordinated;
@@ -51,12 +63,13 @@
         admission::chainShareOf(Node.ChainShares, Request.Template,
                                 Request.Organisation, readClocks().Monotonic);
     Request.Weight = 1.0 / Share;
-    // NOTE Only its home may say of a non-idempotent id that it did not run.
-    if (Request.Idempotent && !admission::isAdmitted(Request.Draw, Share, 0)) {
+    // NOTE Only its home may say of a non-idempotent id that it did not run; a
+    // request of a route is new with each attempt and has no home.
+    bool MayRefuse = Request.Idempotent || Request.Forwarded.has_value();
+    if (MayRefuse && !admission::isAdmitted(Request.Draw, Share, 0)) {
       work_answer Refused =
           refuseWork(outcome::NotRun, refusal_reason::Overload);
-      Refused.RetryAfter =
-          milliseconds(200 + static_cast<std::int64_t>(800 * Node.draw()));
+      Refused.RetryAfter = retryAfter(Request.Objective);
       co_return kj::mv(Refused);
     }
   }
@@ -85,7 +98,7 @@
   Node.Metrics.FirstTries->Increment();
   retry::countFirstTry(allowanceOf(Request.Service));
   work_answer Answer;
-  if (Idempotent) {
+  if (Idempotent || Request.Forwarded) {
     Answer = co_await dispatchToAny(kj::mv(Request));
   } else {
     Answer = co_await dispatchToHome(kj::mv(Request));
@@ -118,6 +131,9 @@
     std::string Address = Chosen->Address;
     Tried.push_back(Address);
     work_request Sent = Request;
+    if (Sent.Forwarded) {
+      Sent.Forwarded->Instance = Chosen->Name;
+    }
     Sent.ExtraTries = retry::takeShare(Budget).ExtraTries;
     try_result Last = co_await tryUpstream(Address, kj::mv(Sent));
     retry::giveBack(Budget, {Last.Answer.UnusedTries});
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -46,6 +46,8 @@
                  retry::retry_reason Reason, framework::monotonic_time Now);
   task<bool> backOff(unsigned Retry, framework::milliseconds RetryAfter,
                      framework::monotonic_time Deadline);
+  /// When a refused caller may come back.
+  framework::milliseconds retryAfter(framework::milliseconds Objective);
   retry::retry_allowance &allowanceOf(const std::string &Service);
 
   node_runtime &Node;
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -4,6 +4,7 @@
 #include "node/wire.h"
 
 #include <algorithm>
+#include <set>
 
 namespace figplank::node {
 namespace {
@@ -18,6 +19,9 @@
 
 /// Requests that may wait whatever the number of slots.
 constexpr std::size_t LeastQueue = 16;
+/// Part of a backend server's slots that is used: servers slow down when they
+/// are nearly full, and a new connection may hold a slot for a moment.
+constexpr double UsableSlots = 0.94;
 /// How often a node considers whether it is a reader.
 constexpr milliseconds ChoiceInterval{500};
 
@@ -47,13 +51,12 @@
 } // namespace
 
 disseminator::disseminator(node_runtime &Node, peer_pool &Peers,
-                           mailbox &Mailbox)
+                           mailbox &Mailbox, platform_source Source)
     : Node(Node), Peers(Peers), Started(readClocks().Monotonic),
       LastNews(Started) {
-  if (!Node.Settings.PlatformAddress.empty()) {
+  if (Source.Read) {
     Reader = std::make_unique<platform_reader>(
-        Node.Settings.PlatformAddress, Node.Settings.SourceIp,
-        [this, &Mailbox](platform_news News) {
+        std::move(Source), [this, &Mailbox](platform_news News) {
           Mailbox.post(
               [this, News = std::move(News)]() { takePlatformNews(News); });
         });
@@ -97,7 +100,47 @@
   AllNodes = membership::listNodes(Node.Store.Catalog, "");
 }
 
+/// Finds the newest incarnation of the own backend server.
+void disseminator::applyOwnInstance() {
+  auto Listed = Node.Store.Catalog.Instances.find(Node.Settings.Service);
+  const configuration::instance *Own = nullptr;
+  if (Listed != Node.Store.Catalog.Instances.end()) {
+    for (const auto &[Name, Instance] : Listed->second) {
+      bool Here = Instance.BackendAddress == Node.Settings.BackendAddress;
+      if (Here && (Own == nullptr || Instance.BornMs > Own->BornMs)) {
+        Own = &Instance;
+      }
+    }
+  }
+  bool Leaving = Own == nullptr
+                     ? !Node.OwnInstance.empty()
+                     : Own->State == configuration::instance_state::Leaving;
+  if (!Leaving) {
+    Node.OwnLeavingSince.reset();
+  } else if (!Node.OwnLeavingSince) {
+    Node.OwnLeavingSince = readClocks().Monotonic;
+    logEvent(log_level::Info, "backend_leaving",
+             {{"instance", Node.OwnInstance}});
+  }
+  if (Own == nullptr) {
+    return;
+  }
+  if (Own->Name != Node.OwnInstance) {
+    Node.OwnInstance = Own->Name;
+    logEvent(log_level::Info, "backend_instance",
+             {{"instance", Own->Name}, {"slots", Own->Slots}});
+  }
+  if (Own->Slots > 0) {
+    admission::setSlots(Node.Limit, UsableSlots * Own->Slots);
+    Node.Queue.Settings.MaxQueued =
+        std::max(LeastQueue, std::size_t{2} * Own->Slots);
+  }
+}
+
 void disseminator::applySettings() {
+  if (!Node.Settings.RouteAddress.empty()) {
+    applyOwnInstance();
+  }
   auto Service = Node.Store.Catalog.Services.find(Node.Settings.Service);
   if (Service == Node.Store.Catalog.Services.end()) {
     return;
@@ -272,8 +315,32 @@
   }
 }
 
+std::vector<published_entry>
+disseminator::listRemoved(const platform_news &News) const {
+  std::vector<published_entry> Removed;
+  if (News.ListedAt == 0) {
+    return Removed;
+  }
+  std::set<std::string_view> Listed;
+  for (const published_entry &Entry : News.Entries) {
+    Listed.insert(Entry.Key);
+  }
+  for (const auto &[Service, Instances] : Node.Store.Catalog.Instances) {
+    for (const auto &[Name, Instance] : Instances) {
+      std::string Key = "instances/" + Service + "/" + Name;
+      auto Held = Node.Store.Newest.find(Key);
+      bool Older = Held != Node.Store.Newest.end() &&
+                   Held->second.Revision < News.ListedAt;
+      if (Older && !Listed.contains(Key)) {
+        Removed.push_back({Key, News.ListedAt, ""});
+      }
+    }
+  }
+  return Removed;
+}
+
 void disseminator::takePlatformNews(const platform_news &News) {
-  Node.Metrics.Dissemination.PlatformCalls->Increment();
+  Node.Metrics.Dissemination.PlatformCalls->Increment(News.Calls);
   if (!News.Reached) {
     Node.Metrics.Dissemination.PlatformFailures->Increment();
     return;
@@ -284,6 +351,8 @@
     logEvent(log_level::Info, "view_refreshed", {{"from", "platform"}});
   }
   std::vector<published_entry> Fresh = apply(News.Entries);
+  std::vector<published_entry> Removed = apply(listRemoved(News));
+  Fresh.insert(Fresh.end(), Removed.begin(), Removed.end());
   if (!Fresh.empty()) {
     LastNews = readClocks().Monotonic;
     spread(Fresh, Settings.MaxHops);
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -56,7 +56,10 @@
 
 class disseminator {
 public:
-  disseminator(node_runtime &Node, peer_pool &Peers, mailbox &Mailbox);
+  /// A source without functions stands for a node that never reads the
+  /// platform itself.
+  disseminator(node_runtime &Node, peer_pool &Peers, mailbox &Mailbox,
+               platform_source Source);
   KJ_DISALLOW_COPY(disseminator);
 
   void receivePush(const std::vector<configuration::published_entry> &Entries,
@@ -95,6 +98,10 @@
   std::vector<configuration::published_entry>
   apply(const std::vector<configuration::published_entry> &Entries);
   void applySettings();
+  void applyOwnInstance();
+  /// Removals of the instances that a whole listing no longer had.
+  std::vector<configuration::published_entry>
+  listRemoved(const platform_news &News) const;
   void listNodes();
   void takePlatformNews(const platform_news &News);
   void heard(bool FromReady);
--- /dev/null
+++ b/src/node/gateway.cpp
@@ -0,0 +1,110 @@
+#include "node/gateway.h"
+
+#include <algorithm>
+
+namespace figplank::node {
+namespace {
+
+using framework::milliseconds;
+using framework::monotonic_time;
+using framework::outcome;
+using framework::readClocks;
+using framework::refusal_reason;
+
+} // namespace
+
+gateway::gateway(node_runtime &Node, dispatcher &Dispatcher,
+                 context_table &Contexts, const wire_dialect &Dialect)
+    : Server(
+          Node.Timer,
+          [this](http::request Request) { return handle(std::move(Request)); }),
+      Node(Node), Dispatcher(Dispatcher), Contexts(Contexts), Dialect(Dialect) {
+}
+
+kj::Promise<http::response> gateway::handle(http::request Request) {
+  return serve(std::move(Request));
+}
+
+std::shared_ptr<call_context>
+gateway::findParent(const std::string &Name) const {
+  std::size_t Dot = Name.rfind('.');
+  if (Dot == std::string::npos) {
+    return nullptr;
+  }
+  auto Found = Contexts.find(Name.substr(0, Dot));
+  return Found == Contexts.end() ? nullptr : Found->second;
+}
+
+work_request gateway::makeRequest(http::request Received,
+                                  const caller_head &Head,
+                                  const configuration::route &Route,
+                                  const call_context *Parent,
+                                  monotonic_time Now) {
+  work_request Request;
+  Request.Template = Route.Name;
+  Request.Service = routing::nextService(Turns, Route, Node.draw());
+  Request.Path = std::move(Received.Target);
+  Request.Idempotent = Route.Idempotent;
+  Request.ExtraTries = static_cast<std::uint8_t>(Route.Attempts - 1);
+  Request.Deadline =
+      Now + std::min(Route.Timeout, Head.Remaining.value_or(Route.Timeout));
+  Request.Objective = Route.Objective;
+  Request.Body = std::move(Received.Body);
+  Request.RootId = Head.Name;
+  Request.Rank = Route.Rank;
+  Request.Draw = Node.draw();
+  if (Parent != nullptr) {
+    const work_request &Above = Parent->Request;
+    Request.RootId = Above.RootId;
+    Request.Rank = Above.Rank;
+    Request.Depth = static_cast<std::uint8_t>(
+        std::min<unsigned>(Above.Depth + 1U, UINT8_MAX));
+    Request.Draw = Above.Draw;
+    Request.Weight = Above.Weight;
+    Request.Deadline = std::min(Request.Deadline, Above.Deadline);
+  }
+  http::removeHopHeaders(Received.Headers);
+  Request.Forwarded =
+      forwarded_request{Head.Name, std::move(Received.Method),
+                        std::move(Received.Headers), Node.Settings.Service, ""};
+  return Request;
+}
+
+task<http::response> gateway::serve(http::request Received) {
+  monotonic_time Now = readClocks().Monotonic;
+  const caller_head Head = Dialect.ReadCallerHead(Received.Headers);
+  const configuration::route_table &Table = Node.Store.Catalog.Routing;
+  refusal_reason Reason = refusal_reason::None;
+  const configuration::route *Route = nullptr;
+  if (!Node.Condition.Ready || Table.Routes.empty()) {
+    Reason = refusal_reason::NoConfiguration;
+  } else {
+    const std::string *Host = http::findHeader(Received.Headers, "Host");
+    Route = routing::findRoute(Table, Host == nullptr ? "" : *Host,
+                               http::pathOf(Received.Target));
+    if (Route == nullptr) {
+      Reason = refusal_reason::UnknownRoute;
+    }
+  }
+  work_answer Answer;
+  bool Idempotent = Route == nullptr || Route->Idempotent;
+  if (Reason != refusal_reason::None) {
+    Answer = refuseWork(outcome::NotRun, Reason);
+    Answer.RetryAfter = milliseconds(300);
+  } else {
+    std::shared_ptr<call_context> Parent = findParent(Head.Name);
+    work_request Request =
+        makeRequest(std::move(Received), Head, *Route, Parent.get(), Now);
+    if (Parent == nullptr) {
+      Answer = co_await Dispatcher.dispatchRoot(kj::mv(Request));
+    } else {
+      Answer = co_await Dispatcher.dispatchChild(kj::mv(Request), Parent);
+    }
+  }
+  Node.Metrics.AnsweredOutcomes[static_cast<std::size_t>(Answer.Outcome)]
+      ->Increment();
+  countRefusal(Node.Metrics.AnsweredReasons, Answer.Reason);
+  co_return Dialect.WriteCallerAnswer(Answer, Head.Name, Idempotent);
+}
+
+} // namespace figplank::node
--- /dev/null
+++ b/src/node/gateway.h
@@ -0,0 +1,43 @@
+/// \file
+/// The HTTP port for requests of routes: callers beside this node, and the
+/// calls of its backend server. Requests take the same path as those of
+/// templates; their headers, bodies and answers pass unchanged.
+#pragma once
+
+#include "http/server.h"
+#include "node/dialect.h"
+#include "node/dispatch.h"
+#include "routing/routes.h"
+
+#include <string>
+
+namespace figplank::node {
+
+class gateway {
+public:
+  gateway(node_runtime &Node, dispatcher &Dispatcher, context_table &Contexts,
+          const wire_dialect &Dialect);
+  KJ_DISALLOW_COPY(gateway);
+
+  kj::Promise<http::response> handle(http::request Request);
+
+  http::server Server;
+
+private:
+  task<http::response> serve(http::request Received);
+  work_request makeRequest(http::request Received, const caller_head &Head,
+                           const configuration::route &Route,
+                           const call_context *Parent,
+                           framework::monotonic_time Now);
+  /// The run of the own backend server that made the call named \p Name; null
+  /// if it is a caller's request.
+  std::shared_ptr<call_context> findParent(const std::string &Name) const;
+
+  node_runtime &Node;
+  dispatcher &Dispatcher;
+  context_table &Contexts;
+  const wire_dialect &Dialect;
+  routing::weighted_turns Turns;
+};
+
+} // namespace figplank::node
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -39,5 +39,5 @@
     return 0;
   }
   framework::startLogging(Settings.Name, Settings.LogLevel);
-  return node::runNode(Settings);
+  return node::runNode(Settings, {});
 }
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -56,11 +56,31 @@
   return Answer;
 }
 
-platform_reader::platform_reader(std::string Address,
-                                 const std::string &SourceIp,
-                                 std::function<void(platform_news)> Deliver)
-    : Address(std::move(Address)), Deliver(std::move(Deliver)),
-      Client(std::make_unique<httplib::Client>("http://" + this->Address)) {
+namespace {
+
+platform_news watch(httplib::Client &Client, std::uint64_t After) {
+  std::string Path = "/v1/watch?after=" + std::to_string(After) +
+                     "&wait_ms=" + std::to_string(WatchMilliseconds);
+  auto Result = Client.Get(Path);
+  platform_news News;
+  if (!Result || Result->status != 200) {
+    return News;
+  }
+  auto Answer = parseWatchAnswer(Result->body);
+  if (!Answer) {
+    return News;
+  }
+  News.Reached = true;
+  News.Revision = Answer->Revision;
+  News.Entries = std::move(Answer->Entries);
+  return News;
+}
+
+} // namespace
+
+platform_source watchSource(const std::string &Address,
+                            const std::string &SourceIp) {
+  auto Client = std::make_shared<httplib::Client>("http://" + Address);
   Client->set_connection_timeout(ConnectTimeoutSeconds);
   Client->set_read_timeout(ReadTimeoutSeconds);
   Client->set_keep_alive(true);
@@ -68,6 +88,13 @@
   if (!SourceIp.empty()) {
     Client->set_interface(SourceIp);
   }
+  return {[Client](std::uint64_t After) { return watch(*Client, After); },
+          [Client]() { Client->stop(); }};
+}
+
+platform_reader::platform_reader(platform_source Source,
+                                 std::function<void(platform_news)> Deliver)
+    : Source(std::move(Source)), Deliver(std::move(Deliver)) {
   Thread = std::thread([this]() { loop(); });
 }
 
@@ -77,7 +104,7 @@
     Stopping = true;
   }
   Changed.notify_all();
-  Client->stop();
+  Source.Interrupt();
   Thread.join();
 }
 
@@ -105,23 +132,13 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     After = Cursor;
   }
-  std::string Path = "/v1/watch?after=" + std::to_string(After) +
-                     "&wait_ms=" + std::to_string(WatchMilliseconds);
-  auto Result = Client->Get(Path);
-  platform_news News;
-  if (!Result || Result->status != 200) {
-    return News;
-  }
-  auto Answer = parseWatchAnswer(Result->body);
-  if (!Answer) {
-    return News;
-  }
+  platform_news News = Source.Read(After);
   std::lock_guard<std::mutex> Lock(Mutex);
   // A platform that went back in time is followed from where it stands; the
   // store takes nothing older from it.
-  Cursor = Answer->Revision;
-  News.Reached = true;
-  News.Entries = std::move(Answer->Entries);
+  if (News.Reached) {
+    Cursor = News.Revision;
+  }
   return News;
 }
 
--- a/src/node/platformreader.h
+++ b/src/node/platformreader.h
@@ -14,18 +14,35 @@
 #include <thread>
 #include <vector>
 
-namespace httplib {
-class Client;
-}
-
 namespace figplank::node {
 
-/// What one call to the platform brought.
+/// What one look at the platform brought.
 struct platform_news {
   bool Reached = false;
+  /// The platform's revision; what is newer is asked for next.
+  std::uint64_t Revision = 0;
   std::vector<configuration::published_entry> Entries;
+  /// Instances were listed whole at this revision: those that are not among the
+  /// entries, and have no newer revision, are gone. 0 for no listing.
+  std::uint64_t ListedAt = 0;
+  /// Calls that were made to the platform.
+  unsigned Calls = 1;
 };
 
+/// How a platform is read. The functions are called on the reader's thread,
+/// but for Interrupt.
+struct platform_source {
+  /// Waits for what is newer than \p After and returns it.
+  std::function<platform_news(std::uint64_t After)> Read;
+  /// Ends a Read that is in progress; for the end of the process.
+  std::function<void()> Interrupt;
+};
+
+/// The source that docs/OPERATORS.md describes: `GET /v1/watch`. Calls leave
+/// from \p SourceIp unless it is empty.
+platform_source watchSource(const std::string &Address,
+                            const std::string &SourceIp);
+
 /// Parses a watch answer: `{"revision": N, "entries": [{"key", "revision",
 /// "value"}]}` with null for a deleted value. Nothing if it is malformed.
 struct watch_answer {
@@ -36,9 +53,8 @@
 
 class platform_reader {
 public:
-  /// Calls leave from \p SourceIp unless it is empty. \p Deliver is called on
-  /// the reader's thread after each call to the platform.
-  platform_reader(std::string Address, const std::string &SourceIp,
+  /// \p Deliver is called on the reader's thread after each look.
+  platform_reader(platform_source Source,
                   std::function<void(platform_news)> Deliver);
   ~platform_reader();
   platform_reader(const platform_reader &) = delete;
@@ -53,14 +69,13 @@
   bool awaitActive();
   platform_news readOnce();
 
-  std::string Address;
+  platform_source Source;
   std::function<void(platform_news)> Deliver;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Active = false;
   bool Stopping = false;
   std::uint64_t Cursor = 0;
-  std::unique_ptr<httplib::Client> Client;
   std::thread Thread;
 };
 
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -58,6 +58,11 @@
   /// The least of them for each template that the own backend server runs.
   admission::chain_shares ChildShares;
   admission::work_queue Queue;
+  /// Name of the own backend server's incarnation, where instances are
+  /// published with their backend servers; empty while it is unknown.
+  std::string OwnInstance;
+  /// When the own backend server was first known to leave.
+  std::optional<framework::monotonic_time> OwnLeavingSince;
   /// Minimum shares of the ranks at the own backend server.
   std::array<double, configuration::RankCount> MinimumShares{};
   retry::suspect_table Suspects;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -35,8 +35,12 @@
       {"name", "name of this upstream in the roster", "", true},
       {"service", "service of the backend server beside this node", "", true},
       {"zone", "availability zone", "", true},
-      {"http-address", "where callers and the backend server call, IP:PORT", "",
-       true},
+      {"http-address", "where requests of templates arrive, IP:PORT", "",
+       false},
+      {"route-address", "where requests of routes arrive, IP:PORT", "", false},
+      {"ready-address", "where the platform asks for readiness, IP:PORT", "",
+       false},
+      {framework::SettingsFileFlag, "file of name = value lines", "", false},
       {"rpc-address", "where other nodes call, IP:PORT, as in the roster", "",
        true},
       {"rpc-listen-address", "where the RPC port listens, if elsewhere", "",
@@ -69,8 +73,13 @@
   Settings.Name = framework::textSetting(Given, "name");
   Settings.Service = framework::textSetting(Given, "service");
   Settings.Zone = framework::textSetting(Given, "zone");
-  Settings.HttpAddress =
-      framework::addressSetting(Given, "http-address", false);
+  Settings.HttpAddress = framework::addressSetting(Given, "http-address", true);
+  Settings.RouteAddress =
+      framework::addressSetting(Given, "route-address", true);
+  Settings.ReadyAddress =
+      framework::addressSetting(Given, "ready-address", true);
+  Settings.SettingsFile =
+      framework::textSetting(Given, framework::SettingsFileFlag);
   Settings.RpcAddress = framework::addressSetting(Given, "rpc-address", false);
   Settings.RpcListenAddress =
       framework::addressSetting(Given, "rpc-listen-address", true);
@@ -97,6 +106,10 @@
       milliseconds(framework::wholeSetting(Given, "grace-ms", 0, MaxGraceMs));
   Settings.Admission = enumSetting(Given, "admission", AdmissionModeNames);
   Settings.LogLevel = enumSetting(Given, "log-level", LogLevelNames);
+  if (Settings.HttpAddress.empty() && Settings.RouteAddress.empty()) {
+    Given.Findings.push_back(
+        {"--http-address", "", "or --route-address is required"});
+  }
   if (Settings.Home.Retention <= 2 * Settings.Home.ClockBound) {
     Given.Findings.push_back({"--retention-ms",
                               framework::textSetting(Given, "retention-ms"),
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -42,7 +42,12 @@
   std::string Name;
   std::string Service;
   std::string Zone;
+  /// Where requests of templates arrive; empty for none.
   std::string HttpAddress;
+  /// Where requests of routes arrive; empty for none.
+  std::string RouteAddress;
+  /// Where the platform asks whether this node takes requests; empty for none.
+  std::string ReadyAddress;
   /// As other nodes know it; tells this process from its replacement.
   std::string RpcAddress;
   /// Where the RPC port listens, if not at RpcAddress.
@@ -58,6 +63,8 @@
   std::vector<std::string> Seeds;
   execution::home_settings Home;
   framework::milliseconds Grace{0};
+  /// The file that the settings were read from; empty for none.
+  std::string SettingsFile;
   admission_mode Admission = admission_mode::Coordinated;
   framework::log_level LogLevel = framework::log_level::Info;
 };
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -23,10 +23,13 @@
 constexpr double FirstServiceSeconds = 0.005;
 constexpr milliseconds LeastRetryAfter{100};
 constexpr unsigned ServerError = 500;
-
-outcome refusalOutcome(const work_request &Request) {
-  return Request.Idempotent ? outcome::NotRun : outcome::Unknown;
-}
+/// Time that a leaving backend server is still given work, for the callers that
+/// have not heard of it.
+constexpr milliseconds LeavingTolerance{300};
+/// Time for a refusal to travel back to the entry.
+constexpr milliseconds RefusalMargin{10};
+/// Part of its objective that a request may wait in the queue.
+constexpr double ObjectivePartInQueue = 0.4;
 
 /// Refusals after which another upstream may do better.
 bool mayGoElsewhere(refusal_reason Reason) {
@@ -38,6 +41,7 @@
   case refusal_reason::BackendFailed:
   case refusal_reason::ConnectionLost:
   case refusal_reason::QueueFull:
+  case refusal_reason::WrongInstance:
     return true;
   default:
     return false;
@@ -57,12 +61,13 @@
   }
 }
 
-upstream_service::upstream_service(node_runtime &Node, peer_pool &Peers)
+upstream_service::upstream_service(node_runtime &Node, peer_pool &Peers,
+                                   const wire_dialect *Dialect)
     : Notices(Node, Peers), Home(Node, Peers,
                                  [this](work_request Request) {
                                    return admitAndRun(std::move(Request));
                                  }),
-      Node(Node), Backend(Node), Crashes(Node, Backend, Notices) {}
+      Node(Node), Backend(Node, Dialect), Crashes(Node, Backend, Notices) {}
 
 task<work_answer> upstream_service::execute(work_request Request) {
   work_answer Answer;
@@ -76,7 +81,7 @@
         refuseWork(refusalOutcome(Request), refusal_reason::NoConfiguration);
   } else if (Request.Service != Node.Settings.Service) {
     Answer = refuseWork(refusalOutcome(Request), refusal_reason::HomeMoved);
-  } else if (Request.Idempotent) {
+  } else if (Request.Idempotent || Request.Forwarded) {
     Answer = co_await admitAndRun(Request);
   } else {
     Answer = co_await Home.execute(Request);
@@ -119,7 +124,8 @@
     Answer = refuseWork(outcome::NotRun, Reason);
     Answer.RetryAfter = retryAfter();
     Answer.UnusedTries = Request.ExtraTries;
-    Answer.MayRetry = Request.Idempotent && mayGoElsewhere(Reason);
+    Answer.MayRetry =
+        (Request.Idempotent || Request.Forwarded) && mayGoElsewhere(Reason);
   }
   bool Completed = Answer.Outcome == outcome::Completed;
   retry::finishRun(Node.Suspects, Fingerprint, Completed);
@@ -149,9 +155,13 @@
   }
 }
 
+bool upstream_service::isBackendLeaving(monotonic_time Now) const {
+  return Node.OwnLeavingSince && Now - *Node.OwnLeavingSince > LeavingTolerance;
+}
+
 refusal_reason upstream_service::admit(work_request &Request,
                                        monotonic_time Now) {
-  if (Node.Condition.Draining) {
+  if (Node.Condition.Draining || isBackendLeaving(Now)) {
     return refusal_reason::Draining;
   }
   if (Now >= Request.Deadline) {
@@ -169,8 +179,11 @@
       admission::chainShareOf(Node.ChildShares, Request.Template,
                               Request.Organisation, Now));
   bool Coordinated = Node.Settings.Admission == admission_mode::Coordinated;
+  // What the chain has spent on an admitted request is not wasted.
+  bool Invested = Request.Forwarded && Request.Depth > 0;
   double Draw = Coordinated ? Request.Draw : Node.draw();
-  if (!admission::isAdmitted(Draw, Share,
+  if (!Invested &&
+      !admission::isAdmitted(Draw, Share,
                              Coordinated ? Request.Depth : std::uint8_t{0})) {
     return refusal_reason::Overload;
   }
@@ -204,9 +217,9 @@
     drop(*Dropped);
   }
   pump();
-  refusal_reason Overdue = refusal_reason::DeadlinePassed;
+  refusal_reason Overdue = refusal_reason::DeadlineUnreachable;
   kj::Promise<refusal_reason> Late =
-      Node.Timer.afterDelay(toDuration(Request.Deadline - Now))
+      Node.Timer.afterDelay(toDuration(longestWait(Request, Now)))
           .then([Overdue]() { return Overdue; });
   kj::Promise<refusal_reason> Either = Pair.promise.exclusiveJoin(kj::mv(Late));
   refusal_reason Reason = co_await kj::mv(Either);
@@ -216,6 +229,22 @@
   co_return Reason;
 }
 
+framework::microseconds
+upstream_service::longestWait(const work_request &Request,
+                              monotonic_time Now) const {
+  if (!Request.Forwarded) {
+    return Request.Deadline - Now;
+  }
+  // NOTE The refusal must reach the entry before the deadline, or the entry has
+  // to say that it does not know whether the request ran.
+  framework::microseconds Left =
+      Request.Deadline - Now - serviceTime(Request.Template) - RefusalMargin;
+  bool Fresh = Request.Depth == 0 && Request.Objective.count() > 0;
+  auto Patience = std::chrono::duration_cast<framework::microseconds>(
+      Request.Objective * ObjectivePartInQueue);
+  return Fresh ? std::min(Left, Patience) : Left;
+}
+
 std::optional<std::uint8_t> upstream_service::lastRankWithRoom() const {
   constexpr std::uint8_t LeastUrgent = configuration::RankCount - 1;
   if (admission::hasRoom(Node.Limit, LeastUrgent)) {
@@ -233,6 +262,19 @@
   Turn->Fulfiller->fulfill(kj::cp(Dropped.Reason));
 }
 
+void upstream_service::dropQueue(refusal_reason Reason) {
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, Turn] : Turns) {
+    if (Turn->Queued && !Turn->Granted) {
+      Tickets.push_back(Ticket);
+    }
+  }
+  for (std::uint64_t Ticket : Tickets) {
+    admission::removeTicket(Node.Queue, Ticket);
+    drop({Ticket, Reason});
+  }
+}
+
 void upstream_service::pump() {
   while (Node.Queue.Size > 0) {
     auto LastRank = lastRankWithRoom();
@@ -260,32 +302,26 @@
 upstream_service::runAtBackend(queue_turn &Turn, work_request Request,
                                retry::fingerprint Fingerprint) {
   auto Context = std::make_shared<call_context>();
-  Context->Token = std::to_string(Node.Random());
+  bool HasName = Request.Forwarded && !Request.Forwarded->Name.empty();
+  Context->Token =
+      HasName ? Request.Forwarded->Name : std::to_string(Node.Random());
   Context->Budget = {Request.ExtraTries};
-  backend_request Sent;
-  Sent.Path = Request.Path;
-  Sent.ContentType = Request.ContentType;
-  Sent.Body = std::move(Request.Body);
-  Sent.Context = Context->Token;
-  Sent.IdempotencyKey =
-      Request.Id ? execution::formatRequestId(*Request.Id) : std::string();
-  Sent.Organisation = Request.Organisation;
-  Sent.Rank = Request.Rank;
   monotonic_time Start = readClocks().Monotonic;
-  Sent.RemainingMs = framework::remainingMilliseconds(Start, Request.Deadline);
+  auto RemainingMs = framework::remainingMilliseconds(Start, Request.Deadline);
+  kj::Promise<backend_answer> Sending =
+      sendToBackend(Request, *Context, RemainingMs);
   Request.Body.clear();
   Context->Request = Request;
   Contexts[Context->Token] = Context;
-  KJ_DEFER(Contexts.erase(Context->Token));
+  KJ_DEFER(forgetContext(*Context));
 
   framework::microseconds Allowed = Request.Deadline - Start;
-  if (!Request.Idempotent) {
+  if (!Request.Idempotent && !Request.Forwarded) {
     Allowed += RunGrace;
   }
   backend_answer Got;
   bool Overdue = false;
   try {
-    kj::Promise<backend_answer> Sending = Backend.send(std::move(Sent));
     kj::Promise<backend_answer> Timed =
         Node.Timer.timeoutAfter(toDuration(Allowed), kj::mv(Sending));
     Got = co_await kj::mv(Timed);
@@ -311,6 +347,37 @@
   co_return kj::mv(Answer);
 }
 
+kj::Promise<backend_answer>
+upstream_service::sendToBackend(work_request &Request,
+                                const call_context &Context,
+                                std::uint32_t RemainingMs) {
+  if (Request.Forwarded) {
+    if (!Node.OwnInstance.empty()) {
+      Request.Forwarded->Instance = Node.OwnInstance;
+    }
+    return Backend.forward(Request, RemainingMs);
+  }
+  backend_request Sent;
+  Sent.Path = Request.Path;
+  Sent.ContentType = Request.ContentType;
+  Sent.Body = std::move(Request.Body);
+  Sent.Context = Context.Token;
+  Sent.IdempotencyKey =
+      Request.Id ? execution::formatRequestId(*Request.Id) : std::string();
+  Sent.Organisation = Request.Organisation;
+  Sent.Rank = Request.Rank;
+  Sent.RemainingMs = RemainingMs;
+  return Backend.send(std::move(Sent));
+}
+
+void upstream_service::forgetContext(const call_context &Context) {
+  // Another copy of the request may run under the same name.
+  auto Found = Contexts.find(Context.Token);
+  if (Found != Contexts.end() && Found->second.get() == &Context) {
+    Contexts.erase(Found);
+  }
+}
+
 task<work_answer>
 upstream_service::judgeResult(queue_turn &Turn, backend_answer Got,
                               bool ChildFailed, bool Idempotent,
@@ -328,6 +395,7 @@
     Answer.Outcome = outcome::Completed;
     Answer.Status = Got.Status;
     Answer.ContentType = std::move(Got.ContentType);
+    Answer.Headers = std::move(Got.Headers);
     Answer.Body = std::move(Got.Body);
     Turn.Result = admission::run_result::Completed;
     if (Got.Status >= ServerError) {
@@ -345,6 +413,11 @@
     Answer.RetryAfter = std::max(Got.RetryAfter, LeastRetryAfter);
     Turn.Result = admission::run_result::Shed;
     break;
+  case backend_result::WrongInstance:
+    Answer = refuseWork(outcome::NotRun, refusal_reason::WrongInstance);
+    Answer.RetryAfter = LeastRetryAfter;
+    Turn.Result = admission::run_result::Cancelled;
+    break;
   case backend_result::Unreachable:
     Answer = refuseWork(outcome::NotRun, refusal_reason::BackendUnreachable);
     Answer.RetryAfter = LeastRetryAfter;
@@ -359,13 +432,17 @@
                                              : refusal_reason::ConnectionLost);
     break;
   }
-  Answer.MayRetry = Idempotent && mayGoElsewhere(Answer.Reason);
+  bool Repeatable = Idempotent || Answer.Outcome == outcome::NotRun;
+  Answer.MayRetry = Repeatable && mayGoElsewhere(Answer.Reason);
   co_return kj::mv(Answer);
 }
 
 // Control windows.
 
 void upstream_service::tick(monotonic_time Now) {
+  if (isBackendLeaving(Now)) {
+    dropQueue(refusal_reason::Draining);
+  }
   admission::advanceLimit(Node.Limit, Now);
   MostInFlight = std::max(MostInFlight, Node.Limit.MostInFlight);
   admission::window_measure Measure{
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -35,7 +35,9 @@
 
 class upstream_service {
 public:
-  upstream_service(node_runtime &Node, peer_pool &Peers);
+  /// \p Dialect serves requests of routes; null where there are none.
+  upstream_service(node_runtime &Node, peer_pool &Peers,
+                   const wire_dialect *Dialect);
   KJ_DISALLOW_COPY(upstream_service);
 
   /// Runs or refuses a request for this node's backend server.
@@ -64,11 +66,21 @@
                                             const work_request &Request);
   task<work_answer> runAtBackend(queue_turn &Turn, work_request Request,
                                  retry::fingerprint Fingerprint);
+  kj::Promise<backend_answer> sendToBackend(work_request &Request,
+                                            const call_context &Context,
+                                            std::uint32_t RemainingMs);
   task<work_answer> judgeResult(queue_turn &Turn, backend_answer Answer,
                                 bool ChildFailed, bool Idempotent,
                                 retry::fingerprint Fingerprint);
   /// The least urgent rank that may start a request now.
   std::optional<std::uint8_t> lastRankWithRoom() const;
+  /// Time that \p Request may wait for its turn.
+  framework::microseconds longestWait(const work_request &Request,
+                                      framework::monotonic_time Now) const;
+  /// The own backend server leaves, and the other nodes had time to hear of it.
+  bool isBackendLeaving(framework::monotonic_time Now) const;
+  void forgetContext(const call_context &Context);
+  void dropQueue(framework::refusal_reason Reason);
   void drop(const admission::dropped_work &Dropped);
   void pump();
   void completeAnswer(work_answer &Answer, const work_request &Request);
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -47,6 +47,40 @@
   To.setDraining(From.Draining);
 }
 
+void writeHeaders(capnp::List<rpc::Header>::Builder To,
+                  const http::header_list &From) {
+  for (unsigned I = 0; I < From.size(); ++I) {
+    To[I].setName(toText(From[I].Name));
+    To[I].setValue(toText(From[I].Value));
+  }
+}
+
+http::header_list readHeaders(capnp::List<rpc::Header>::Reader From) {
+  http::header_list Headers;
+  Headers.reserve(From.size());
+  for (rpc::Header::Reader Header : From) {
+    Headers.push_back(
+        {toString(Header.getName()), toString(Header.getValue())});
+  }
+  return Headers;
+}
+
+void writeForwarded(rpc::ForwardedRequest::Builder To,
+                    const forwarded_request &From) {
+  To.setName(toText(From.Name));
+  To.setMethod(toText(From.Method));
+  To.setCallerService(toText(From.CallerService));
+  To.setInstance(toText(From.Instance));
+  writeHeaders(To.initHeaders(static_cast<unsigned>(From.Headers.size())),
+               From.Headers);
+}
+
+forwarded_request readForwarded(rpc::ForwardedRequest::Reader From) {
+  return {toString(From.getName()), toString(From.getMethod()),
+          readHeaders(From.getHeaders()), toString(From.getCallerService()),
+          toString(From.getInstance())};
+}
+
 routing::reported_load readLoad(rpc::Load::Reader From) {
   routing::reported_load Load;
   Load.Limit =
@@ -82,6 +116,10 @@
   To.setWeight(From.Weight);
   To.setContentType(toText(From.ContentType));
   To.setBody(toData(From.Body));
+  To.setObjectiveMs(static_cast<std::uint32_t>(From.Objective.count()));
+  if (From.Forwarded) {
+    writeForwarded(To.initForwarded(), *From.Forwarded);
+  }
 }
 
 std::optional<work_request> readRequest(rpc::WorkRequest::Reader From,
@@ -104,11 +142,16 @@
   Request.Weight = From.getWeight();
   Request.ContentType = toString(From.getContentType());
   Request.Body = toString(From.getBody());
+  Request.Objective = framework::milliseconds(From.getObjectiveMs());
+  if (From.hasForwarded()) {
+    Request.Forwarded = readForwarded(From.getForwarded());
+  }
   bool Valid = Request.Rank < configuration::RankCount &&
                isFraction(Request.Draw) && std::isfinite(Request.Weight) &&
                Request.Weight >= 1.0 && Request.Weight <= MaxWeight &&
                Request.Path.starts_with('/') &&
-               (Request.Idempotent || Request.Id.has_value());
+               (Request.Idempotent || Request.Id.has_value() ||
+                Request.Forwarded.has_value());
   if (!Valid) {
     return std::nullopt;
   }
@@ -122,6 +165,8 @@
   To.setReason(static_cast<std::uint8_t>(From.Reason));
   To.setStatus(From.Status);
   To.setContentType(toText(From.ContentType));
+  writeHeaders(To.initHeaders(static_cast<unsigned>(From.Headers.size())),
+               From.Headers);
   To.setBody(toData(From.Body));
   To.setRetryAfterMs(static_cast<std::uint32_t>(From.RetryAfter.count()));
   To.setUnusedTries(From.UnusedTries);
@@ -144,6 +189,7 @@
   Answer.Reason = *Reason;
   Answer.Status = From.getStatus();
   Answer.ContentType = toString(From.getContentType());
+  Answer.Headers = readHeaders(From.getHeaders());
   Answer.Body = toString(From.getBody());
   Answer.RetryAfter = framework::milliseconds(From.getRetryAfterMs());
   Answer.UnusedTries = From.getUnusedTries();
--- a/src/node/worktypes.h
+++ b/src/node/worktypes.h
@@ -5,6 +5,7 @@
 #include "execution/requestid.h"
 #include "framework/outcome.h"
 #include "framework/timetypes.h"
+#include "http/message.h"
 #include "routing/upstreams.h"
 
 #include <cstdint>
@@ -13,6 +14,20 @@
 
 namespace figplank::node {
 
+/// What a request of a route carries to the backend server unchanged, beside
+/// its path and body.
+struct forwarded_request {
+  /// The caller's own name of the request, which the answer repeats. Empty for
+  /// a work request of a template.
+  std::string Name;
+  std::string Method;
+  http::header_list Headers;
+  /// Service of the backend server beside which the request began.
+  std::string CallerService;
+  /// Name of the backend server's incarnation that is meant.
+  std::string Instance;
+};
+
 struct work_request {
   std::optional<execution::request_id> Id;
   std::string RootId;
@@ -34,6 +49,10 @@
   double Weight = 1.0;
   std::string ContentType;
   std::string Body;
+  /// Set for requests of routes.
+  std::optional<forwarded_request> Forwarded;
+  /// Time from its arrival within which the answer is worth most; 0 for none.
+  framework::milliseconds Objective{0};
 };
 
 struct work_answer {
@@ -42,6 +61,8 @@
   /// The backend server's status, if it answered.
   std::uint16_t Status = 0;
   std::string ContentType;
+  /// Of the backend server's answer to a request of a route.
+  http::header_list Headers;
   std::string Body;
   /// Time before which the caller should not try again.
   framework::milliseconds RetryAfter{0};
@@ -53,6 +74,14 @@
   routing::reported_load Load;
 };
 
+/// What a refusal of a request that was not started may claim. Only the home of
+/// a non-idempotent id may say that it did not run, since a copy may; requests
+/// of routes have no copies.
+inline framework::outcome refusalOutcome(const work_request &Request) {
+  bool Certain = Request.Idempotent || Request.Forwarded.has_value();
+  return Certain ? framework::outcome::NotRun : framework::outcome::Unknown;
+}
+
 /// An answer that claims no result of a backend server.
 inline work_answer refuseWork(framework::outcome Outcome,
                               framework::refusal_reason Reason) {
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -91,6 +91,17 @@
   return SecondLoad < FirstLoad ? List[Second] : List[First];
 }
 
+/// Whether a later incarnation stands behind the same node.
+bool isSuperseded(
+    const configuration::instance &Instance,
+    const configuration::text_map<configuration::instance> &Instances) {
+  return std::any_of(Instances.begin(), Instances.end(),
+                     [&Instance](const auto &Row) {
+                       return Row.second.Address == Instance.Address &&
+                              Row.second.BornMs > Instance.BornMs;
+                     });
+}
+
 } // namespace
 
 std::vector<candidate> listCandidates(const configuration::catalog &Catalog,
@@ -102,7 +113,8 @@
   auto Settings = Catalog.Services.find(Service);
   if (Listed != Catalog.Instances.end()) {
     for (const auto &[Name, Instance] : Listed->second) {
-      if (Instance.State == configuration::instance_state::Live) {
+      if (Instance.State == configuration::instance_state::Live &&
+          !isSuperseded(Instance, Listed->second)) {
         Candidates.push_back({Name, Instance.Zone, Instance.Address});
       }
     }
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -26,6 +26,26 @@
   contentType @14 :Text;
   body @15 :Data;
   rootId @16 :Text;
+  forwarded @17 :ForwardedRequest;
+  # Set for requests of a route, which pass unchanged.
+  objectiveMs @18 :UInt32;
+  # Time from its arrival within which the answer is worth most; 0 for none.
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct ForwardedRequest {
+  name @0 :Text;
+  # The caller's own name of the request.
+  method @1 :Text;
+  callerService @2 :Text;
+  # Service of the backend server beside which the request began.
+  instance @3 :Text;
+  # Name of the backend server's incarnation that is meant.
+  headers @4 :List(Header);
 }
 
 struct Load {
@@ -49,6 +69,7 @@
   # Only the hop just above a failure may try again.
   share @9 :Float64;
   load @10 :Load;
+  headers @11 :List(Header);
 }
 
 struct Entry {
--- a/src/rpc/node.capnp.h
+++ b/src/rpc/node.capnp.h
@@ -20,6 +20,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(f2026b31358d20f0);
+CAPNP_DECLARE_SCHEMA(eda0c3d96ca61dee);
+CAPNP_DECLARE_SCHEMA(9f40c0449228dd9b);
 CAPNP_DECLARE_SCHEMA(8d2c0230d027129c);
 CAPNP_DECLARE_SCHEMA(e96004a5b7fd591f);
 CAPNP_DECLARE_SCHEMA(820852706c3a1ed9);
@@ -53,7 +55,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f2026b31358d20f0, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(f2026b31358d20f0, 5, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Header {
+  Header() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eda0c3d96ca61dee, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ForwardedRequest {
+  ForwardedRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f40c0449228dd9b, 0, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -83,7 +115,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e96004a5b7fd591f, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e96004a5b7fd591f, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -405,6 +437,11 @@
   inline bool hasRootId() const;
   inline  ::capnp::Text::Reader getRootId() const;
 
+  inline bool hasForwarded() const;
+  inline  ::figplank::rpc::ForwardedRequest::Reader getForwarded() const;
+
+  inline  ::uint32_t getObjectiveMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -516,6 +553,16 @@
   inline void adoptRootId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRootId();
 
+  inline bool hasForwarded();
+  inline  ::figplank::rpc::ForwardedRequest::Builder getForwarded();
+  inline void setForwarded( ::figplank::rpc::ForwardedRequest::Reader value);
+  inline  ::figplank::rpc::ForwardedRequest::Builder initForwarded();
+  inline void adoptForwarded(::capnp::Orphan< ::figplank::rpc::ForwardedRequest>&& value);
+  inline ::capnp::Orphan< ::figplank::rpc::ForwardedRequest> disownForwarded();
+
+  inline  ::uint32_t getObjectiveMs();
+  inline void setObjectiveMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -534,6 +581,219 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::figplank::rpc::ForwardedRequest::Pipeline getForwarded();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Header::Reader {
+public:
+  typedef Header Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Header::Builder {
+public:
+  typedef Header Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Header::Pipeline {
+public:
+  typedef Header Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ForwardedRequest::Reader {
+public:
+  typedef ForwardedRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
+
+  inline bool hasCallerService() const;
+  inline  ::capnp::Text::Reader getCallerService() const;
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ForwardedRequest::Builder {
+public:
+  typedef ForwardedRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+
+  inline bool hasCallerService();
+  inline  ::capnp::Text::Builder getCallerService();
+  inline void setCallerService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCallerService(unsigned int size);
+  inline void adoptCallerService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCallerService();
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ForwardedRequest::Pipeline {
+public:
+  typedef ForwardedRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -680,6 +940,9 @@
   inline bool hasLoad() const;
   inline  ::figplank::rpc::Load::Reader getLoad() const;
 
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -753,6 +1016,13 @@
   inline void adoptLoad(::capnp::Orphan< ::figplank::rpc::Load>&& value);
   inline ::capnp::Orphan< ::figplank::rpc::Load> disownLoad();
 
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2560,6 +2830,297 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool WorkRequest::Reader::hasForwarded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkRequest::Builder::hasForwarded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::figplank::rpc::ForwardedRequest::Reader WorkRequest::Reader::getForwarded() const {
+  return ::capnp::_::PointerHelpers< ::figplank::rpc::ForwardedRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::figplank::rpc::ForwardedRequest::Builder WorkRequest::Builder::getForwarded() {
+  return ::capnp::_::PointerHelpers< ::figplank::rpc::ForwardedRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::figplank::rpc::ForwardedRequest::Pipeline WorkRequest::Pipeline::getForwarded() {
+  return  ::figplank::rpc::ForwardedRequest::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void WorkRequest::Builder::setForwarded( ::figplank::rpc::ForwardedRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::figplank::rpc::ForwardedRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::figplank::rpc::ForwardedRequest::Builder WorkRequest::Builder::initForwarded() {
+  return ::capnp::_::PointerHelpers< ::figplank::rpc::ForwardedRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void WorkRequest::Builder::adoptForwarded(
+    ::capnp::Orphan< ::figplank::rpc::ForwardedRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::figplank::rpc::ForwardedRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::figplank::rpc::ForwardedRequest> WorkRequest::Builder::disownForwarded() {
+  return ::capnp::_::PointerHelpers< ::figplank::rpc::ForwardedRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WorkRequest::Reader::getObjectiveMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkRequest::Builder::getObjectiveMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void WorkRequest::Builder::setObjectiveMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasMethod() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasMethod() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasCallerService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasCallerService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getCallerService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setCallerService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initCallerService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptCallerService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownCallerService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader ForwardedRequest::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder ForwardedRequest::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setHeaders( ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder ForwardedRequest::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>> ForwardedRequest::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline double Load::Reader::getLimit() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2849,6 +3410,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool WorkAnswer::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkAnswer::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader WorkAnswer::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder WorkAnswer::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void WorkAnswer::Builder::setHeaders( ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Builder WorkAnswer::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void WorkAnswer::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>> WorkAnswer::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Entry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
