Restarts: serve through the lame duck, close the port before the end, be ready from one source

Ruled out: too few slots (upstream_limit was at its cap in the lines).

Change: announcement memory of 1.5 s where instances are published with their backend servers; announcement 0.4 s before the close; one source suffices where the platform is linearizable; the listener closes first and the process ends when no connection is open.

--- a/src/framework/logging.cpp
+++ b/src/framework/logging.cpp
@@ -2,7 +2,9 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <cstdio>
+#include <map>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -97,12 +99,69 @@
   el::Loggers::reconfigureAllLoggers(Settings);
 }
 
-void logEvent(log_level Level, std::string_view Event,
-              std::initializer_list<log_field> Fields) {
+namespace {
+
+/// The allowance that one event has used.
+struct event_allowance {
+  log_allowance Allowance;
+  double Lines = Allowance.Burst;
+  monotonic_time Filled;
+  std::uint64_t LeftOut = 0;
+};
+
+/// Whether a line may be written now.
+bool takeLine(event_allowance &Event, monotonic_time Now) {
+  double Seconds = std::chrono::duration<double>(Now - Event.Filled).count();
+  Event.Filled = Now;
+  Event.Lines = std::min(Event.Allowance.Burst,
+                         Event.Lines + Seconds * Event.Allowance.PerSecond);
+  if (Event.Lines < 1.0) {
+    ++Event.LeftOut;
+    return false;
+  }
+  Event.Lines -= 1.0;
+  return true;
+}
+
+void writeLine(log_level Level, const std::string &Line);
+
+} // namespace
+
+void logFrequentEvent(log_level Level, std::string_view Event,
+                      std::initializer_list<log_field> Fields,
+                      monotonic_time Now) {
+  // Only the event loop's thread writes these.
+  static std::map<std::string, event_allowance, std::less<>> Events;
   if (Level < leastLevel()) {
     return;
   }
+  auto Found = Events.find(Event);
+  if (Found == Events.end()) {
+    Found = Events.try_emplace(std::string(Event)).first;
+    Found->second.Filled = Now;
+  }
+  event_allowance &Used = Found->second;
+  if (!takeLine(Used, Now)) {
+    return;
+  }
   std::string Line = formatEvent(Event, Fields);
+  if (Used.LeftOut > 0) {
+    Line += " left_out=" + std::to_string(Used.LeftOut);
+    Used.LeftOut = 0;
+  }
+  writeLine(Level, Line);
+}
+
+void logEvent(log_level Level, std::string_view Event,
+              std::initializer_list<log_field> Fields) {
+  if (Level >= leastLevel()) {
+    writeLine(Level, formatEvent(Event, Fields));
+  }
+}
+
+namespace {
+
+void writeLine(log_level Level, const std::string &Line) {
   switch (Level) {
   case log_level::Debug:
     LOG(DEBUG) << Line;
@@ -119,4 +178,6 @@
   }
 }
 
+} // namespace
+
 } // namespace figplank::framework
--- a/src/framework/logging.h
+++ b/src/framework/logging.h
@@ -2,6 +2,8 @@
 /// Structured logs: one line of key=value pairs per event.
 #pragma once
 
+#include "framework/timetypes.h"
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -38,4 +40,17 @@
 void logEvent(log_level Level, std::string_view Event,
               std::initializer_list<log_field> Fields);
 
+/// Lines per second that one event may have, and those it may have at once.
+struct log_allowance {
+  double PerSecond = 20.0;
+  double Burst = 40.0;
+};
+
+/// Writes one event that may come with each request. Beyond the allowance of
+/// its name lines are left out and counted; the next line that is written has
+/// their number as `left_out`.
+void logFrequentEvent(log_level Level, std::string_view Event,
+                      std::initializer_list<log_field> Fields,
+                      monotonic_time Now);
+
 } // namespace figplank::framework
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -57,7 +57,7 @@
     constexpr std::uint16_t NotFound = 404;
     constexpr std::uint16_t ServiceUnavailable = 503;
     http::response Response;
-    bool Takes = Node.Condition.Ready && !Node.Condition.Draining;
+    bool Takes = Node.Condition.Ready && !Node.Condition.Stopping;
     Response.Status = Takes ? Ok : ServiceUnavailable;
     if (http::pathOf(Request.Target) != Deployment.ReadyPath) {
       Response.Status = NotFound;
@@ -89,6 +89,8 @@
   kj::HttpServer Http;
   http::server Ready;
   kj::Own<gateway> Gateway;
+  /// Dropped to close the port for requests of routes.
+  kj::Promise<void> RouteListening = kj::READY_NOW;
 };
 
 /// Applies the published limits of what callers of routes may send.
@@ -152,7 +154,6 @@
   kj::Own<kj::ConnectionReceiver> RpcPort =
       co_await open(Node, Settings.RpcListenAddress);
   kj::Own<kj::ConnectionReceiver> HttpPort;
-  kj::Own<kj::ConnectionReceiver> RoutePort;
   kj::Own<kj::ConnectionReceiver> ReadyPort;
   kj::Promise<void> All = Parts.Rpc.listen(*RpcPort);
   if (!Settings.HttpAddress.empty()) {
@@ -162,8 +163,10 @@
         []() -> kj::Promise<void> { return kj::NEVER_DONE; }));
   }
   if (Parts.Gateway.get() != nullptr) {
-    RoutePort = co_await open(Node, Settings.RouteAddress);
-    All = All.exclusiveJoin(Parts.Gateway->Server.listen(*RoutePort));
+    kj::Own<kj::ConnectionReceiver> RoutePort =
+        co_await open(Node, Settings.RouteAddress);
+    kj::Promise<void> Accepting = Parts.Gateway->Server.listen(*RoutePort);
+    Parts.RouteListening = Accepting.attach(kj::mv(RoutePort));
   }
   if (!Settings.ReadyAddress.empty()) {
     ReadyPort = co_await open(Node, Settings.ReadyAddress);
@@ -185,43 +188,58 @@
 /// How long a node with routes goes on taking requests after the signal: the
 /// platform needs two misses of its question each second to send none.
 constexpr milliseconds RouteLameDuck{2'300};
+/// Time before that at which other nodes are told to go elsewhere.
+constexpr milliseconds AnnounceAhead{400};
 /// Time before the end of the grace at which the last connections are closed.
 constexpr milliseconds CloseMargin{500};
 
+task<void> sleepUntil(node_runtime &Node, framework::monotonic_time Time) {
+  co_await Node.Timer.afterDelay(toDuration(Time - readClocks().Monotonic));
+}
+
+/// Refuses new work for the own backend server and tells the service's nodes.
+void leaveService(node_parts &Parts) {
+  Parts.Node.Condition.Draining = true;
+  Parts.Upstream.Notices.excludeSelf();
+  Parts.Node.Tasks.add(Parts.Upstream.Notices.announceDrain());
+}
+
 /// Serves the requests of routes that still arrive, then closes the callers'
-/// connections.
+/// connections. The backend server beside the node may go on without it and
+/// keeps its work for as long as possible.
 task<void> drainRoutes(node_parts &Parts, framework::monotonic_time End) {
   node_runtime &Node = Parts.Node;
   framework::monotonic_time Quiet =
       std::min(readClocks().Monotonic + RouteLameDuck, End - CloseMargin);
-  while (readClocks().Monotonic < Quiet) {
-    co_await Node.Timer.afterDelay(toDuration(TickInterval));
-  }
+  co_await sleepUntil(Node, Quiet - AnnounceAhead);
+  leaveService(Parts);
+  co_await sleepUntil(Node, Quiet);
+  // What is sent after this is not read, and its caller may send it again.
+  Parts.RouteListening = kj::READY_NOW;
   Parts.Gateway->Server.closeConnections();
   while (readClocks().Monotonic < End &&
-         Parts.Gateway->Server.unanswered() > 0) {
+         Parts.Gateway->Server.openConnections() > 0) {
     co_await Node.Timer.afterDelay(toDuration(TickInterval));
   }
 }
 
-/// Refuses new work, tells the service's nodes, and waits for the requests in
-/// flight.
+/// Stops taking work and waits for the requests in flight.
 task<void> drain(node_parts &Parts) {
   node_runtime &Node = Parts.Node;
-  Node.Condition.Draining = true;
-  Parts.Upstream.Notices.excludeSelf();
+  Node.Condition.Stopping = true;
   logEvent(log_level::Info, "draining",
            {{"unfinished",
              static_cast<std::uint64_t>(Parts.Upstream.unfinished())}});
-  Node.Tasks.add(Parts.Upstream.Notices.announceDrain());
-  kj::Promise<void> Finished = Parts.Http.drain();
-  bool HttpDone = false;
-  Node.Tasks.add(Finished.then([&HttpDone]() { HttpDone = true; }));
   framework::monotonic_time End =
       readClocks().Monotonic + Node.Settings.Grace - CloseMargin;
   if (Parts.Gateway.get() != nullptr) {
     co_await drainRoutes(Parts, End);
+  } else {
+    leaveService(Parts);
   }
+  kj::Promise<void> Finished = Parts.Http.drain();
+  bool HttpDone = false;
+  Node.Tasks.add(Finished.then([&HttpDone]() { HttpDone = true; }));
   while (readClocks().Monotonic < End &&
          (Parts.Upstream.unfinished() > 0 || !HttpDone)) {
     co_await Node.Timer.afterDelay(toDuration(TickInterval));
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -54,6 +54,7 @@
                            mailbox &Mailbox, platform_source Source)
     : Node(Node), Peers(Peers), Started(readClocks().Monotonic),
       LastNews(Started) {
+  Linearizable = Source.Linearizable;
   if (Source.Read) {
     Reader = std::make_unique<platform_reader>(
         std::move(Source), [this, &Mailbox](platform_news News) {
@@ -369,7 +370,8 @@
   bool HasPeers = !Node.Settings.Seeds.empty() || AllNodes.size() > 1;
   bool Both = (PlatformHeard || !HasPlatform) && (PeerHeard || !HasPeers);
   bool Either = PlatformHeard || PeerHeard;
-  if (Both || (Either && Now - Started > Settings.StartupWait)) {
+  if (Both || (Either && Linearizable) ||
+      (Either && Now - Started > Settings.StartupWait)) {
     Node.Condition.Ready = true;
     logEvent(log_level::Info, "ready",
              {{"revision", configuration::highestRevision(Node.Store)},
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -113,6 +113,8 @@
   peer_pool &Peers;
   dissemination_settings Settings;
   std::unique_ptr<platform_reader> Reader;
+  /// One source suffices at the start, see platform_source.
+  bool Linearizable = false;
   bool Reading = false;
   bool PlatformHeard = false;
   bool PeerHeard = false;
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -70,6 +70,30 @@
   return Request;
 }
 
+void gateway::logAnswer(const std::string &Name, const std::string &Route,
+                        const work_answer &Answer, monotonic_time Started) {
+  if (Answer.Reason == refusal_reason::None) {
+    return;
+  }
+  monotonic_time Now = readClocks().Monotonic;
+  framework::logFrequentEvent(
+      framework::log_level::Info, "request_not_completed",
+      {{"request", Name},
+       {"route", Route},
+       {"outcome", framework::nameOf(Answer.Outcome)},
+       {"reason", framework::nameOf(Answer.Reason)},
+       {"status", static_cast<unsigned>(Answer.Status)},
+       {"took_ms",
+        static_cast<std::int64_t>(
+            std::chrono::duration_cast<milliseconds>(Now - Started).count())},
+       {"share", Answer.Share},
+       {"upstream_limit", Answer.Load.Limit},
+       {"upstream_in_flight", Answer.Load.InFlight},
+       {"upstream_queued", Answer.Load.Queued},
+       {"routes_version", Node.Store.Catalog.Routing.Version}},
+      Now);
+}
+
 task<http::response> gateway::serve(http::request Received) {
   monotonic_time Now = readClocks().Monotonic;
   const caller_head Head = Dialect.ReadCallerHead(Received.Headers);
@@ -87,6 +111,7 @@
     }
   }
   work_answer Answer;
+  const std::string RouteName = Route == nullptr ? "" : Route->Name;
   bool Idempotent = Route == nullptr || Route->Idempotent;
   if (Reason != refusal_reason::None) {
     Answer = refuseWork(outcome::NotRun, Reason);
@@ -101,6 +126,7 @@
       Answer = co_await Dispatcher.dispatchChild(kj::mv(Request), Parent);
     }
   }
+  logAnswer(Head.Name, RouteName, Answer, Now);
   Node.Metrics.AnsweredOutcomes[static_cast<std::size_t>(Answer.Outcome)]
       ->Increment();
   countRefusal(Node.Metrics.AnsweredReasons, Answer.Reason);
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -89,7 +89,7 @@
     Client->set_interface(SourceIp);
   }
   return {[Client](std::uint64_t After) { return watch(*Client, After); },
-          [Client]() { Client->stop(); }};
+          [Client]() { Client->stop(); }, false};
 }
 
 platform_reader::platform_reader(platform_source Source,
--- a/src/node/platformreader.h
+++ b/src/node/platformreader.h
@@ -36,6 +36,9 @@
   std::function<platform_news(std::uint64_t After)> Read;
   /// Ends a Read that is in progress; for the end of the process.
   std::function<void()> Interrupt;
+  /// What is read is never older than what was read before, anywhere: a node
+  /// that starts needs either the platform or a peer that is ready, not both.
+  bool Linearizable = false;
 };
 
 /// The source that docs/OPERATORS.md describes: `GET /v1/watch`. Calls leave
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -9,6 +9,11 @@
   return admission::startLimit(Settings, framework::readClocks().Monotonic);
 }
 
+/// With routes a leaving backend server is published as such, and what a node
+/// announces is its own restart.
+constexpr framework::milliseconds RoutingNodeRestart{1'500};
+constexpr framework::milliseconds RoutingAvoidMost{800};
+
 } // namespace
 
 node_runtime::node_runtime(node_settings Given, kj::AsyncIoContext &Io)
@@ -20,6 +25,10 @@
       Random(std::random_device{}()), Tasks(*this) {
   Pause.LastTick = framework::readClocks().Monotonic;
   WokeAt = Pause.LastTick - std::chrono::hours(1);
+  if (!Settings.RouteAddress.empty()) {
+    Upstreams.Settings.DrainMemory = RoutingNodeRestart;
+    Upstreams.Settings.AvoidMost = RoutingAvoidMost;
+  }
   OnPause = [](framework::milliseconds) {};
 }
 
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -34,6 +34,9 @@
   bool Ready = false;
   /// Nothing has been heard since a pause; ids may have moved meanwhile.
   bool ViewStale = false;
+  /// The process was told to end.
+  bool Stopping = false;
+  /// No new work is taken for the own backend server.
   bool Draining = false;
 };
 
