Routing by expected time; standing delay by rank; a minimum share for each rank

(2) Upstreams of one service differ in speed and the near one was taken up to its last slot. (3) Ranks had no minimum share on routes.

Ruled out: late price checks being held at this node (36 of 263 were late by the gateway's clock; the others wait in pipelines behind slower kinds).

--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -136,6 +136,10 @@
     }
     Sent.ExtraTries = retry::takeShare(Budget).ExtraTries;
     try_result Last = co_await tryUpstream(Address, kj::mv(Sent));
+    if (Last.Answer.Outcome == outcome::Completed) {
+      routing::recordTime(Node.Upstreams, Address, Request.Template,
+                          readClocks().Monotonic - Now);
+    }
     retry::giveBack(Budget, {Last.Answer.UnusedTries});
     MayHaveRun |= Last.MayHaveRun;
     Answer = kj::mv(Last.Answer);
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -19,6 +19,9 @@
 
 /// Requests that may wait whatever the number of slots.
 constexpr std::size_t LeastQueue = 16;
+/// Part of the capacity that each rank keeps where routes, which name none, are
+/// served.
+constexpr double RouteMinimumShare = 0.05;
 /// Part of a backend server's slots that is used: servers slow down when they
 /// are nearly full, and a new connection may hold a slot for a moment.
 constexpr double UsableSlots = 0.94;
@@ -131,6 +134,7 @@
     logEvent(log_level::Info, "backend_instance",
              {{"instance", Own->Name}, {"slots", Own->Slots}});
   }
+  Node.MinimumShares.fill(RouteMinimumShare);
   if (Own->Slots > 0) {
     admission::setSlots(Node.Limit, UsableSlots * Own->Slots);
     Node.Queue.Settings.MaxQueued =
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -71,13 +71,16 @@
 }
 
 void gateway::logAnswer(const std::string &Name, const std::string &Route,
-                        const work_answer &Answer, monotonic_time Started) {
-  if (Answer.Reason == refusal_reason::None) {
+                        const work_answer &Answer, milliseconds Objective,
+                        monotonic_time Started) {
+  monotonic_time Now = readClocks().Monotonic;
+  bool Completed = Answer.Reason == refusal_reason::None;
+  if (Completed && Now - Started <= Objective) {
     return;
   }
-  monotonic_time Now = readClocks().Monotonic;
   framework::logFrequentEvent(
-      framework::log_level::Info, "request_not_completed",
+      framework::log_level::Info,
+      Completed ? "request_late" : "request_not_completed",
       {{"request", Name},
        {"route", Route},
        {"outcome", framework::nameOf(Answer.Outcome)},
@@ -112,6 +115,8 @@
   }
   work_answer Answer;
   const std::string RouteName = Route == nullptr ? "" : Route->Name;
+  const milliseconds Objective =
+      Route == nullptr ? milliseconds(0) : Route->Objective;
   bool Idempotent = Route == nullptr || Route->Idempotent;
   if (Reason != refusal_reason::None) {
     Answer = refuseWork(outcome::NotRun, Reason);
@@ -126,7 +131,7 @@
       Answer = co_await Dispatcher.dispatchChild(kj::mv(Request), Parent);
     }
   }
-  logAnswer(Head.Name, RouteName, Answer, Now);
+  logAnswer(Head.Name, RouteName, Answer, Objective, Now);
   Node.Metrics.AnsweredOutcomes[static_cast<std::size_t>(Answer.Outcome)]
       ->Increment();
   countRefusal(Node.Metrics.AnsweredReasons, Answer.Reason);
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -201,7 +201,7 @@
       (Node.Queue.Size == 0 && admission::hasRoom(Node.Limit, Request.Rank))) {
     admission::startRun(Node.Limit);
     Turn.Granted = true;
-    recordWait(framework::microseconds(0));
+    recordWait(Request.Rank, framework::microseconds(0));
     co_return refusal_reason::None;
   }
   auto Pair = kj::newPromiseAndFulfiller<refusal_reason>();
@@ -223,9 +223,8 @@
           .then([Overdue]() { return Overdue; });
   kj::Promise<refusal_reason> Either = Pair.promise.exclusiveJoin(kj::mv(Late));
   refusal_reason Reason = co_await kj::mv(Either);
-  if (Reason == refusal_reason::None) {
-    recordWait(readClocks().Monotonic - Now);
-  }
+  // What was dropped waited as well.
+  recordWait(Request.Rank, readClocks().Monotonic - Now);
   co_return Reason;
 }
 
@@ -445,24 +444,34 @@
   }
   admission::advanceLimit(Node.Limit, Now);
   MostInFlight = std::max(MostInFlight, Node.Limit.MostInFlight);
-  admission::window_measure Measure{
-      Node.Limit.Limit, ShortestWait.value_or(framework::microseconds(0)),
-      static_cast<double>(MostInFlight)};
+  admission::window_measure Measure{Node.Limit.Limit, standingDelay(),
+                                    static_cast<double>(MostInFlight)};
   if (admission::advanceShares(Node.Shares, Measure, Node.MinimumShares, Now)) {
     std::uint8_t Urgent = admission::mostUrgentRank(Node.Shares);
     admission::reserveFor(Node.Limit, Urgent);
-    ShortestWait.reset();
+    ShortestWaits = {};
     LongestWait = framework::microseconds(0);
     MostInFlight = 0;
   }
   pump();
 }
 
-void upstream_service::recordWait(framework::microseconds Waited) {
-  ShortestWait = std::min(ShortestWait.value_or(Waited), Waited);
+void upstream_service::recordWait(std::uint8_t Rank,
+                                  framework::microseconds Waited) {
+  std::optional<framework::microseconds> &Shortest = ShortestWaits[Rank];
+  Shortest = std::min(Shortest.value_or(Waited), Waited);
   LongestWait = std::max(LongestWait, Waited);
 }
 
+framework::microseconds upstream_service::standingDelay() const {
+  // NOTE Urgent work passes the queue, so its waits say nothing of the queue.
+  framework::microseconds Standing{0};
+  for (const auto &Shortest : ShortestWaits) {
+    Standing = std::max(Standing, Shortest.value_or(Standing));
+  }
+  return Standing;
+}
+
 std::size_t upstream_service::unfinished() const {
   return Node.Limit.InFlight + Node.Queue.Size;
 }
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -85,7 +85,9 @@
   void pump();
   void completeAnswer(work_answer &Answer, const work_request &Request);
   framework::microseconds serviceTime(const std::string &Template) const;
-  void recordWait(framework::microseconds Waited);
+  void recordWait(std::uint8_t Rank, framework::microseconds Waited);
+  /// The shortest wait of the rank that waits longest.
+  framework::microseconds standingDelay() const;
   void recordServiceTime(const std::string &Template,
                          framework::microseconds Time);
   framework::milliseconds retryAfter();
@@ -97,8 +99,10 @@
   std::unordered_map<std::uint64_t, queue_turn *> Turns;
   /// Smoothed seconds at the backend server, by template.
   std::map<std::string, double> ServiceSeconds;
-  /// Shortest and longest wait of the requests that began in this window.
-  std::optional<framework::microseconds> ShortestWait;
+  /// Shortest wait of each rank, and longest wait, of the requests that left
+  /// the queue in this window.
+  std::array<std::optional<framework::microseconds>, configuration::RankCount>
+      ShortestWaits;
   framework::microseconds LongestWait{0};
   std::uint32_t MostInFlight = 0;
 };
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -42,6 +42,18 @@
          FailurePenalty * View->Load.FailureRate;
 }
 
+/// Expected time to an answer in terms of the usual one. A wait is expected
+/// from the load at which the slots begin to run out.
+double costOf(const upstream_table &Table, std::string_view Address,
+              monotonic_time Now) {
+  constexpr double WaitPerLoad = 3.0;
+  const upstream_view *View = findView(Table, Address);
+  double Slowness = View == nullptr ? 1.0 : View->Slowness;
+  double Excess =
+      std::max(0.0, loadOf(Table, Address, Now) - Table.Settings.SpillLoad);
+  return Slowness * (1.0 + WaitPerLoad * Excess);
+}
+
 bool isAvoided(const upstream_table &Table, const candidate &Candidate,
                monotonic_time Now) {
   const upstream_view *View = findView(Table, Candidate.Address);
@@ -86,9 +98,13 @@
   }
   auto Second = static_cast<std::size_t>(Draws.Second * (Size - 1.0));
   Second += Second >= First ? 1 : 0;
-  double FirstLoad = loadOf(Table, List[First]->Address, Now);
-  double SecondLoad = loadOf(Table, List[Second]->Address, Now);
-  return SecondLoad < FirstLoad ? List[Second] : List[First];
+  double FirstCost = costOf(Table, List[First]->Address, Now);
+  double SecondCost = costOf(Table, List[Second]->Address, Now);
+  if (FirstCost == SecondCost) {
+    FirstCost = loadOf(Table, List[First]->Address, Now);
+    SecondCost = loadOf(Table, List[Second]->Address, Now);
+  }
+  return SecondCost < FirstCost ? List[Second] : List[First];
 }
 
 /// Whether a later incarnation stands behind the same node.
@@ -150,13 +166,13 @@
     }
   }
   const candidate *Near = betterOfTwo(Table, Local, Draws, Now);
-  constexpr double FullLoad = 1.0;
-  if (Near != nullptr && loadOf(Table, Near->Address, Now) < FullLoad) {
-    return Near;
-  }
   const candidate *Any = betterOfTwo(Table, Alive, Draws, Now);
-  bool KeepNear = Near != nullptr && loadOf(Table, Near->Address, Now) <=
-                                         loadOf(Table, Any->Address, Now);
+  if (Near == nullptr) {
+    return Any;
+  }
+  double Bound =
+      Table.Settings.SpillFactor * costOf(Table, Near->Address, Now);
+  bool KeepNear = costOf(Table, Any->Address, Now) >= Bound;
   return KeepNear ? Near : Any;
 }
 
@@ -187,6 +203,23 @@
   }
 }
 
+void recordTime(upstream_table &Table, std::string_view Address,
+                std::string_view Kind, framework::microseconds Taken) {
+  constexpr double MicrosecondsPerMs = 1000.0;
+  constexpr double LeastMs = 0.1;
+  constexpr double MostRatio = 8.0;
+  double Ms = std::max(LeastMs, static_cast<double>(Taken.count()) /
+                                    MicrosecondsPerMs);
+  auto Usual = Table.UsualMs.find(Kind);
+  if (Usual == Table.UsualMs.end()) {
+    Usual = Table.UsualMs.try_emplace(std::string(Kind), Ms).first;
+  }
+  double Ratio = std::min(MostRatio, Ms / Usual->second);
+  Usual->second += Table.Settings.UsualSmoothing * (Ms - Usual->second);
+  upstream_view &View = viewOf(Table, Address);
+  View.Slowness += Table.Settings.SlownessSmoothing * (Ratio - View.Slowness);
+}
+
 void recordFailure(upstream_table &Table, std::string_view Address,
                    monotonic_time Now) {
   recordEnd(Table, Address);
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -2,9 +2,9 @@
 /// What one node knows of the upstreams of the services it calls, and the
 /// choice among them.
 ///
-/// Two candidates are drawn at random and the less loaded one is taken
-/// (Mitzenmacher, "The power of two choices", 2001), in the node's own
-/// availability zone while it has room.
+/// Two candidates are drawn at random and the one that is expected to answer
+/// sooner is taken (Mitzenmacher, "The power of two choices", 2001), in the
+/// node's own availability zone unless another does clearly better.
 #pragma once
 
 #include "configuration/store.h"
@@ -39,6 +39,9 @@
   std::uint32_t FailuresInRow = 0;
   /// No new work before this time: it announced that it leaves.
   framework::monotonic_time DrainingUntil;
+  /// Time of answers from here in terms of the usual time of their kind, as
+  /// this node sees both; smoothed.
+  double Slowness = 1.0;
 };
 
 struct routing_settings {
@@ -50,6 +53,15 @@
   framework::milliseconds DrainMemory{60'000};
   /// Age at which a load report counts for nothing.
   framework::milliseconds ReportLifetime{1'000};
+  /// Load of an upstream in the own zone above which others are considered:
+  /// queues form before all slots are taken.
+  double SpillLoad = 0.75;
+  /// Part of the expected time in the own zone that an upstream elsewhere must
+  /// stay below to be preferred: bytes between zones are dear.
+  double SpillFactor = 0.8;
+  /// Weight of a new answer in Slowness, and in the usual times.
+  double SlownessSmoothing = 0.1;
+  double UsualSmoothing = 0.02;
   /// Part of the candidates that must look alive; with fewer the view is
   /// suspected rather than the fleet.
   double LeastAlive = 0.5;
@@ -57,6 +69,8 @@
 
 struct upstream_table {
   routing_settings Settings;
+  /// Usual milliseconds to an answer, by kind of request.
+  configuration::text_map<double> UsualMs;
   /// By address.
   configuration::text_map<upstream_view> Views;
 };
@@ -96,6 +110,10 @@
 void recordAnswer(upstream_table &Table, std::string_view Address,
                   const reported_load &Load, framework::monotonic_time Now);
 
+/// Records the time that an answer to a request of kind \p Kind took.
+void recordTime(upstream_table &Table, std::string_view Address,
+                std::string_view Kind, framework::microseconds Taken);
+
 /// Records that no answer came.
 void recordFailure(upstream_table &Table, std::string_view Address,
                    framework::monotonic_time Now);
