Sheds of a server with room cut no limit; shares recover faster

Cause: a backend server that sheds at random (grey) had its limit cut by 0.7 a window down to 1, and shares at the doors took 6 s to grow back after it; waits of 10 ms in front of each of 8 sequential calls broke the route's timeout.

Ruled out: too little capacity (in flight was far below the slots).

Change, for nodes with routes: a shed below 0.7 of the slots counts as a failure and cuts nothing; target of the standing delay 4 ms, decrease 0.9; learnt shares grow after 300 ms, 16-fold a second.

--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -30,7 +30,8 @@
     return 1.0;
   }
   const limit_settings &Settings = Limit.Settings;
-  if (Limit.Failed >= Settings.FailureThreshold * Ended) {
+  if (Limit.Failed >= Settings.FailureThreshold * Ended &&
+      Settings.CutByFailures) {
     return Settings.FailureFactor;
   }
   if (Limit.TimedOut >= Settings.FailureThreshold * Ended) {
@@ -98,7 +99,11 @@
   case run_result::Cancelled:
     break;
   case run_result::Shed:
-    if (!Limit.ShedInWindow) {
+    if (Running < Limit.Settings.LeastRunningForShed * Limit.Settings.Slots) {
+      // NOTE The server has room; it refuses for a reason of its own, which a
+      // lower limit would not mend.
+      ++Limit.Failed;
+    } else if (!Limit.ShedInWindow) {
       double Reached = std::min(Limit.Limit, static_cast<double>(Running));
       Limit.Limit = std::max(LeastLimit, Reached * Limit.Settings.ShedFactor);
       Limit.ShedInWindow = true;
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -35,6 +35,11 @@
   double TimeoutFactor = 0.8;
   /// Part of a window's requests that must fail, or time out, for a cut.
   double FailureThreshold = 0.5;
+  /// Part of the slots that must be running for a shed to mean a lack of room.
+  /// 0 where others use the backend server as well.
+  double LeastRunningForShed = 0.0;
+  /// Whether failures cut the limit.
+  bool CutByFailures = true;
 };
 
 struct concurrency_limit {
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -13,6 +13,12 @@
 /// announces is its own restart.
 constexpr framework::milliseconds RoutingNodeRestart{1'500};
 constexpr framework::milliseconds RoutingAvoidMost{800};
+constexpr double RoutingLeastRunningForShed = 0.7;
+/// Chains call one service many times in a row, and each call may wait.
+constexpr framework::milliseconds RoutingTargetDelay{4};
+constexpr double RoutingDecreaseFactor = 0.9;
+constexpr framework::milliseconds RoutingShareStaleAfter{300};
+constexpr double RoutingShareGrowth = 16.0;
 
 } // namespace
 
@@ -28,6 +34,15 @@
   if (!Settings.RouteAddress.empty()) {
     Upstreams.Settings.DrainMemory = RoutingNodeRestart;
     Upstreams.Settings.AvoidMost = RoutingAvoidMost;
+    // Nobody else reaches the backend server.
+    Limit.Settings.LeastRunningForShed = RoutingLeastRunningForShed;
+    Limit.Settings.CutByFailures = false;
+    Shares.Settings.TargetDelay = RoutingTargetDelay;
+    Shares.Settings.DecreaseFactor = RoutingDecreaseFactor;
+    for (admission::chain_shares *Learnt : {&ChainShares, &ChildShares}) {
+      Learnt->Settings.StaleAfter = RoutingShareStaleAfter;
+      Learnt->Settings.GrowthPerSecond = RoutingShareGrowth;
+    }
   }
   OnPause = [](framework::milliseconds) {};
 }
