Tests of the platform's path; retries that reach no backend cost no budget; logs never block

Cause: (1) a failover that never arrived at a backend server drew on the retry allowance, whose burst of 10 a node and service is 140 over 14 nodes; (2) a reader of standard output that stops reading stopped the node; (3) a connection accepted in the moment of the close was ended before its first request was read.

Change: burst of 3 where many nodes share a service, hops that reached no backend server are free up to four upstreams; lines are dropped and counted when the pipe is full; new connections are closed after their first answer.

--- a/src/admission/tests/concurrencylimit_tests.cpp
+++ b/src/admission/tests/concurrencylimit_tests.cpp
@@ -94,3 +94,19 @@
   CHECK_TRUE(hasRoom(Limit, 1));
   CHECK_TRUE(hasRoom(Limit, 0));
 }
+
+TEST(ConcurrencyLimit, ShedOfAServerThatNobodyElseUsesCutsOnlyWhenItIsBusy) {
+  Limit.Settings.LeastRunningForShed = 0.7;
+  Limit.Settings.CutByFailures = false;
+  playWindows(Limit, Now, 20, run_result::Completed);
+  for (int I = 0; I < 10; ++I) {
+    startRun(Limit);
+    endRun(Limit, run_result::Shed);
+  }
+  Now += milliseconds(100);
+  advanceLimit(Limit, Now);
+  DOUBLES_EQUAL(40.0, Limit.Limit, 0.01);
+  DOUBLES_EQUAL(1.0, Limit.FailureRate, 0.01);
+  playWindows(Limit, Now, 1, run_result::Shed);
+  CHECK(Limit.Limit < 40.0);
+}
--- a/src/configuration/tests/validation_tests.cpp
+++ b/src/configuration/tests/validation_tests.cpp
@@ -75,3 +75,47 @@
                               {"name":"a","zone":"z","address":"host.example:70"}]})"));
   LONGS_EQUAL(1, findingsOf("services/s", R"({"slots":5,"roster":[]})"));
 }
+
+TEST(Validation, RoutesAreParsed) {
+  validation_result Result = validateValue("routing/current", R"({
+    "version": 7, "limits": {"idle_timeout_ms": 9000},
+    "routes": [{"name": "r", "host": "Shop.Example:80", "prefix": "/a/",
+      "idempotent": true, "attempts": 2, "timeout_ms": 800,
+      "objective_ms": 1500, "rank": 1,
+      "backends": [{"service": "x", "weight": 9},
+                   {"service": "y", "weight": 1}]}]})");
+  STRCMP_EQUAL("", framework::formatFindings(Result.Findings).c_str());
+  const auto &Table = std::get<route_table>(Result.Value);
+  LONGS_EQUAL(7, Table.Version);
+  LONGS_EQUAL(9000, Table.Limits.IdleTimeout.count());
+  STRCMP_EQUAL("shop.example", Table.Routes[0].Host.c_str());
+  LONGS_EQUAL(800, Table.Routes[0].Timeout.count());
+  LONGS_EQUAL(9, Table.Routes[0].Backends[0].Weight);
+}
+
+TEST(Validation, AllFindingsOfRoutesComeTogether) {
+  // The prefix, the attempts, the weights, and a route that stands twice.
+  LONGS_EQUAL(4, findingsOf("routing/current", R"({
+    "version": 7, "routes": [
+      {"name": "r", "host": "h", "prefix": "/a", "idempotent": true,
+       "attempts": 0, "timeout_ms": 1, "objective_ms": 1, "rank": 1,
+       "backends": [{"service": "x", "weight": 0}]},
+      {"name": "s", "host": "h", "prefix": "/a/", "idempotent": true,
+       "attempts": 1, "timeout_ms": 1, "objective_ms": 1, "rank": 1,
+       "backends": [{"service": "x", "weight": 1}]},
+      {"name": "t", "host": "H", "prefix": "/a/", "idempotent": true,
+       "attempts": 1, "timeout_ms": 1, "objective_ms": 1, "rank": 1,
+       "backends": [{"service": "x", "weight": 1}]}]})"));
+}
+
+TEST(Validation, InstanceMayNameItsBackendServer) {
+  validation_result Result = validateValue("instances/s/i-1", R"({
+    "zone": "z", "address": "10.0.0.1:7620", "state": "leaving",
+    "backend_address": "10.0.0.1:8301", "slots": 16,
+    "born_ms": 1790000000000, "cold_ms": 2500})");
+  STRCMP_EQUAL("", framework::formatFindings(Result.Findings).c_str());
+  const auto &Instance = std::get<instance>(Result.Value);
+  LONGS_EQUAL(16, Instance.Slots);
+  CHECK(Instance.BornMs == 1790000000000ULL);
+  CHECK(Instance.State == instance_state::Leaving);
+}
--- a/src/framework/logging.cpp
+++ b/src/framework/logging.cpp
@@ -3,9 +3,14 @@
 #include <easylogging++.h>
 
 #include <algorithm>
+#include <atomic>
+#include <climits>
 #include <cstdio>
 #include <map>
 
+#include <poll.h>
+#include <unistd.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace figplank::framework {
@@ -161,7 +166,26 @@
 
 namespace {
 
-void writeLine(log_level Level, const std::string &Line) {
+/// Whether standard output takes a line now. A pipe that is ready takes at
+/// least PIPE_BUF bytes at once.
+bool canWrite() {
+  pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0;
+}
+
+void writeLine(log_level Level, const std::string &Text) {
+  // Leaves room for the line's prefix.
+  constexpr std::size_t MostBytes = PIPE_BUF - 512;
+  static std::atomic<std::uint64_t> Dropped = 0;
+  if (!canWrite()) {
+    ++Dropped;
+    return;
+  }
+  std::string Line = Text.substr(0, MostBytes);
+  std::uint64_t Missing = Dropped.exchange(0);
+  if (Missing > 0) {
+    Line += " dropped_lines=" + std::to_string(Missing);
+  }
   switch (Level) {
   case log_level::Debug:
     LOG(DEBUG) << Line;
--- a/src/framework/logging.h
+++ b/src/framework/logging.h
@@ -36,7 +36,9 @@
 /// Sets up the process's logger: \p Name is added to each line.
 void startLogging(std::string_view Name, log_level Least);
 
-/// Writes one event to standard output.
+/// Writes one event to standard output. Where its reader has stopped reading,
+/// lines are dropped and counted; the next one has their number as
+/// `dropped_lines`.
 void logEvent(log_level Level, std::string_view Event,
               std::initializer_list<log_field> Fields);
 
--- a/src/framework/tests/framework_tests.cpp
+++ b/src/framework/tests/framework_tests.cpp
@@ -5,7 +5,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <fstream>
+
+#include <unistd.h>
 
 using namespace figplank::framework;
 
@@ -77,3 +81,65 @@
     LONGS_EQUAL(I, static_cast<std::size_t>(RefusalTable[I].Reason));
   }
 }
+
+TEST(Settings, FileGivesWhatFlagsAndVariablesDoNot) {
+  char Path[] = "/tmp/figplank-file-XXXXXX";
+  close(mkstemp(Path));
+  std::ofstream(Path)
+      << "# comment\nname = from file\ncount = 9\nnew-one = 1\n";
+  std::vector<setting_spec> WithFile = Specs;
+  WithFile.push_back({SettingsFileFlag, "a file", "", false});
+  given_settings Given =
+      readSettings({"--count=6", std::string("--settings-file=") + Path},
+                   "FIGTEST_", WithFile);
+  STRCMP_EQUAL("from file", textSetting(Given, "name").c_str());
+  LONGS_EQUAL(6, wholeSetting(Given, "count", 1, 10));
+  CHECK(Given.Findings.empty());
+  std::remove(Path);
+  Given = readSettings({"--name=x", "--settings-file=/nowhere/at/all"},
+                       "FIGTEST_", WithFile);
+  LONGS_EQUAL(1, Given.Findings.size());
+}
+
+TEST_GROUP(Log) {
+  int Saved = dup(STDOUT_FILENO);
+  int Pipe[2] = {-1, -1};
+
+  void setup() override {
+    CHECK(pipe(Pipe) == 0);
+    dup2(Pipe[1], STDOUT_FILENO);
+  }
+  void teardown() override {
+    dup2(Saved, STDOUT_FILENO);
+    close(Saved);
+    close(Pipe[0]);
+    close(Pipe[1]);
+  }
+  std::string written() const {
+    std::string Text(std::size_t{1} << 17U, ' ');
+    ssize_t Got = read(Pipe[0], Text.data(), Text.size());
+    Text.resize(static_cast<std::size_t>(std::max<ssize_t>(0, Got)));
+    return Text;
+  }
+};
+
+TEST(Log, ReaderThatStopsReadingStopsNobody) {
+  for (int I = 0; I < 5'000; ++I) {
+    logEvent(log_level::Warning, "flood", {{"number", I}});
+  }
+  // The pipe is full and its reader comes back.
+  (void)written();
+  logEvent(log_level::Warning, "after", {});
+  CHECK(written().find("dropped_lines=") != std::string::npos);
+}
+
+TEST(Log, FrequentEventsAreLeftOutAndCounted) {
+  monotonic_time Now{};
+  for (int I = 0; I < 1'000; ++I) {
+    logFrequentEvent(log_level::Warning, "refused", {{"number", I}}, Now);
+  }
+  std::string Text = written();
+  LONGS_EQUAL(40, std::count(Text.begin(), Text.end(), '\n'));
+  logFrequentEvent(log_level::Warning, "refused", {}, Now + milliseconds(100));
+  CHECK(written().find("left_out=960") != std::string::npos);
+}
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -60,9 +60,10 @@
     return Reading.exclusiveJoin(kj::mv(Answering));
   }
 
-  /// Ends the connection once nothing waits for an answer.
+  /// Ends the connection if it has been served and nothing waits for an answer.
+  /// A new connection still has its first request on the way.
   void close() {
-    if (Waiting.empty() && !Writing && !Parser.isInsideMessage()) {
+    if (Served && Waiting.empty() && !Writing && !Parser.isInsideMessage()) {
       Ended = true;
       signal();
     }
@@ -129,6 +130,7 @@
       InputEnded = true;
       push({plainResponse(RequestTimeout), false, false});
     } else {
+      Served = true;
       close();
       InputEnded = Ended;
     }
@@ -163,6 +165,7 @@
   }
 
   void start(request Request) {
+    Served = true;
     bool IsHead = Request.Method == "HEAD";
     bool KeepAlive = Request.KeepAlive;
     InputEnded = !KeepAlive;
@@ -230,6 +233,7 @@
   kj::Own<kj::PromiseFulfiller<void>> Wakeup;
   kj::Promise<void> Continuing = kj::READY_NOW;
   bool ContinueSent = false;
+  bool Served = false;
   bool Writing = false;
   bool InputEnded = false;
   bool Ended = false;
@@ -242,6 +246,10 @@
   return acceptLoop(Port);
 }
 
+kj::Promise<void> server::serveStream(kj::Own<kj::AsyncIoStream> Stream) {
+  return serve(kj::mv(Stream));
+}
+
 task<void> server::acceptLoop(kj::ConnectionReceiver &Port) {
   // Descriptors may run out for a moment.
   constexpr kj::Duration AcceptPause = 50 * kj::MILLISECONDS;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -44,6 +44,9 @@
   /// Serves the connections that \p Port accepts.
   kj::Promise<void> listen(kj::ConnectionReceiver &Port);
 
+  /// Serves one connection until it ends.
+  kj::Promise<void> serveStream(kj::Own<kj::AsyncIoStream> Stream);
+
   /// Applies to requests that are read from now on.
   void setLimits(const server_limits &Changed) { Limits = Changed; }
 
--- /dev/null
+++ b/src/http/tests/client_tests.cpp
@@ -0,0 +1,97 @@
+#include "http/client.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+
+using namespace figplank::http;
+
+namespace {
+
+std::string answerText(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nId: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+response_filter onlyFor(std::string Id) {
+  return [Id](const response &Response) {
+    return *findHeader(Response.Headers, "Id") == Id;
+  };
+}
+
+/// A connection to a server whose end the test holds.
+struct client_session {
+  kj::AsyncIoContext Io = kj::setupAsyncIo();
+  kj::TwoWayPipe Pipe = kj::newTwoWayPipe();
+  client_connection Connection{kj::mv(Pipe.ends[0]), {}};
+
+  /// Answers one request with \p Text and closes if \p Close.
+  exchange_result exchange(const std::string &Id, const std::string &Text,
+                           bool Close) {
+    kj::Promise<exchange_result> Waiting =
+        Connection.exchange({"GET", "/", {}, "", true}, onlyFor(Id));
+    char Buffer[1024];
+    Pipe.ends[1]->tryRead(Buffer, 1, sizeof Buffer).wait(Io.waitScope);
+    kj::Promise<void> Writing =
+        Pipe.ends[1]->write(Text.data(), Text.size()).eagerlyEvaluate(nullptr);
+    if (Close) {
+      kj::Promise<exchange_result> Whole = Waiting.eagerlyEvaluate(nullptr);
+      (void)Writing.poll(Io.waitScope);
+      Pipe.ends[1]->shutdownWrite();
+      return Whole.wait(Io.waitScope);
+    }
+    return Waiting.wait(Io.waitScope);
+  }
+};
+
+} // namespace
+
+TEST_GROUP(Client) {
+  std::unique_ptr<client_session> Session = std::make_unique<client_session>();
+  client_connection &Connection = Session->Connection;
+
+  exchange_result exchange(const std::string &Id, const std::string &Text,
+                           bool Close) {
+    return Session->exchange(Id, Text, Close);
+  }
+};
+
+TEST(Client, LateAnswerToAnotherRequestIsDropped) {
+  exchange_result Result =
+      exchange("b", answerText("a", "stray") + answerText("b", "own"), false);
+  CHECK(Result.Answer.has_value());
+  STRCMP_EQUAL("own", Result.Answer->Body.c_str());
+  CHECK(Connection.isUsable());
+}
+
+TEST(Client, BytesBehindTheAnswerEndTheConnection) {
+  exchange_result Result =
+      exchange("a", answerText("a", "own") + "extra", false);
+  STRCMP_EQUAL("own", Result.Answer->Body.c_str());
+  CHECK_FALSE(Connection.isUsable());
+}
+
+TEST(Client, TruncatedAnswerIsNone) {
+  exchange_result Result = exchange(
+      "a", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart", true);
+  CHECK_FALSE(Result.Answer.has_value());
+  CHECK(Result.AnyByte);
+}
+
+TEST(Client, AnswerWithoutLengthEndsWithTheConnection) {
+  exchange_result Result =
+      exchange("a", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it", true);
+  STRCMP_EQUAL("all of it", Result.Answer->Body.c_str());
+  CHECK_FALSE(Connection.isUsable());
+}
+
+TEST(Client, IdleConnectionThatEndsIsNotUsed) {
+  (void)exchange("a", answerText("a", "own"), false);
+  Connection.watchIdle();
+  Session->Pipe.ends[1] = nullptr;
+  Session->Io.provider->getTimer()
+      .afterDelay(2 * kj::MILLISECONDS)
+      .wait(Session->Io.waitScope);
+  CHECK_FALSE(Connection.isUsable());
+}
--- /dev/null
+++ b/src/http/tests/parser_tests.cpp
@@ -0,0 +1,98 @@
+#include "http/parser.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace figplank::http;
+
+namespace {
+
+constexpr auto Requests = message_parser::kind::Requests;
+constexpr auto Responses = message_parser::kind::Responses;
+
+} // namespace
+
+TEST_GROUP(Parser){
+    static parse_state feedAll(message_parser & Parser,
+                               std::string_view Bytes){std::size_t Consumed = 0;
+return Parser.feed(Bytes, Consumed);
+}
+}
+;
+
+TEST(Parser, PipelinedRequestsAreTakenOneByOne) {
+  message_parser Parser(Requests, {});
+  std::string Bytes = "GET /one HTTP/1.1\r\nHost: a\r\n\r\n"
+                      "POST /two HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /";
+  std::size_t Consumed = 0;
+  CHECK(Parser.feed(Bytes, Consumed) == parse_state::Complete);
+  Bytes.erase(0, Consumed);
+  STRCMP_EQUAL("/one", Parser.takeRequest().Target.c_str());
+  CHECK(Parser.feed(Bytes, Consumed) == parse_state::Complete);
+  Bytes.erase(0, Consumed);
+  request Second = Parser.takeRequest();
+  STRCMP_EQUAL("/two", Second.Target.c_str());
+  STRCMP_EQUAL("hi", Second.Body.c_str());
+  CHECK(Parser.feed(Bytes, Consumed) == parse_state::Incomplete);
+  CHECK(Parser.isInsideMessage());
+}
+
+TEST(Parser, MessageInSingleBytesIsTheSame) {
+  message_parser Parser(Requests, {});
+  std::string Bytes = "POST /a HTTP/1.1\r\nX-Name: v w\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
+                      "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  parse_state State = parse_state::Incomplete;
+  for (char Byte : Bytes) {
+    State = feedAll(Parser, {&Byte, 1});
+  }
+  CHECK(State == parse_state::Complete);
+  request Request = Parser.takeRequest();
+  STRCMP_EQUAL("abcde", Request.Body.c_str());
+  STRCMP_EQUAL("v w", findHeader(Request.Headers, "x-name")->c_str());
+}
+
+TEST(Parser, TwoFramingsAreMalformed) {
+  message_parser Parser(Requests, {});
+  CHECK(feedAll(Parser, "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+        parse_state::Malformed);
+}
+
+TEST(Parser, TwoLengthsAreMalformed) {
+  message_parser Parser(Requests, {});
+  CHECK(feedAll(Parser,
+                "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                "Content-Length: 4\r\n\r\nabcd") == parse_state::Malformed);
+}
+
+TEST(Parser, BoundsOfHeadAndBody) {
+  parser_limits Limits{40, 3};
+  message_parser Long(Requests, Limits);
+  CHECK(feedAll(Long, "GET / HTTP/1.1\r\nX: " + std::string(50, 'x')) ==
+        parse_state::HeadersTooLarge);
+  message_parser Large(Requests, Limits);
+  CHECK(feedAll(Large, "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd") ==
+        parse_state::BodyTooLarge);
+}
+
+TEST(Parser, ResponseWithoutLengthEndsWithItsConnection) {
+  message_parser Parser(Responses, {});
+  CHECK(feedAll(Parser, "HTTP/1.1 200 OK\r\n\r\npart") ==
+        parse_state::Incomplete);
+  CHECK(Parser.finish() == parse_state::Complete);
+  response Response = Parser.takeResponse();
+  STRCMP_EQUAL("part", Response.Body.c_str());
+  CHECK_FALSE(Response.KeepAlive);
+}
+
+TEST(Parser, TruncatedResponseIsNotComplete) {
+  message_parser Parser(Responses, {});
+  CHECK(feedAll(Parser, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart") ==
+        parse_state::Incomplete);
+  CHECK(Parser.finish() == parse_state::Malformed);
+}
+
+TEST(Parser, BytesThatAreNoAnswer) {
+  message_parser Parser(Responses, {});
+  CHECK(feedAll(Parser, "garbage\r\n\r\n") == parse_state::Malformed);
+}
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -29,6 +29,21 @@
   }
 }
 
+/// Upstreams that one request may be offered to without reaching a backend
+/// server.
+constexpr std::size_t MostUpstreamsTried = 4;
+/// Tokens for retries where each service is called by many nodes, which share
+/// what the service can bear.
+constexpr double RoutingAllowanceBurst = 3.0;
+
+/// Whether the request may have arrived at a backend server, which is what
+/// retries are bounded for.
+bool reachedBackend(const work_answer &Answer) {
+  return Answer.Outcome != outcome::NotRun ||
+         Answer.Reason == refusal_reason::BackendShed ||
+         Answer.Reason == refusal_reason::WrongInstance;
+}
+
 } // namespace
 
 dispatcher::dispatcher(node_runtime &Node, peer_pool &Peers,
@@ -36,7 +51,16 @@
     : Node(Node), Peers(Peers), Own(Own) {}
 
 retry::retry_allowance &dispatcher::allowanceOf(const std::string &Service) {
-  return Node.Allowances[Service];
+  auto Found = Node.Allowances.find(Service);
+  if (Found == Node.Allowances.end()) {
+    retry::retry_allowance Allowance;
+    if (!Node.Settings.RouteAddress.empty()) {
+      Allowance.Burst = RoutingAllowanceBurst;
+      Allowance.Tokens = RoutingAllowanceBurst;
+    }
+    Found = Node.Allowances.emplace(Service, Allowance).first;
+  }
+  return Found->second;
 }
 
 milliseconds dispatcher::retryAfter(milliseconds Objective) {
@@ -143,10 +167,17 @@
     retry::giveBack(Budget, {Last.Answer.UnusedTries});
     MayHaveRun |= Last.MayHaveRun;
     Answer = kj::mv(Last.Answer);
-    if (!Answer.MayRetry ||
-        !takeRetry(Request, Budget, Last.Reason, readClocks().Monotonic)) {
+    bool Free = Request.Forwarded && !reachedBackend(Answer) &&
+                Tried.size() < MostUpstreamsTried;
+    bool Granted =
+        Answer.MayRetry && (Free || takeRetry(Request, Budget, Last.Reason,
+                                              readClocks().Monotonic));
+    if (!Granted) {
       break;
     }
+    if (Free) {
+      countRetry(Node.Metrics, Last.Reason);
+    }
     bool InTime = co_await backOff(Retry, milliseconds(0), Request.Deadline);
     if (!InTime) {
       break;
--- a/src/retry/budget.cpp
+++ b/src/retry/budget.cpp
@@ -33,7 +33,7 @@
 
 void countFirstTry(retry_allowance &Allowance) {
   Allowance.Tokens =
-      std::min(AllowanceBurst, Allowance.Tokens + AllowanceRatio);
+      std::min(Allowance.Burst, Allowance.Tokens + AllowanceRatio);
 }
 
 bool takeRetry(retry_allowance &Allowance) {
--- a/src/retry/budget.h
+++ b/src/retry/budget.h
@@ -61,6 +61,7 @@
 /// plus a small burst for services with little traffic.
 struct retry_allowance {
   double Tokens = AllowanceBurst;
+  double Burst = AllowanceBurst;
 };
 
 void countFirstTry(retry_allowance &Allowance);
--- a/src/routing/tests/upstreams_tests.cpp
+++ b/src/routing/tests/upstreams_tests.cpp
@@ -113,3 +113,34 @@
   forgetViews(Table);
   CHECK(choose({0.0, 0.0}) == "a" || choose({0.9, 0.0}) == "a");
 }
+
+TEST(Upstreams, SlowUpstreamOfTheOwnZoneLosesWorkToAFastOneElsewhere) {
+  for (int I = 0; I < 60; ++I) {
+    for (const char *Slow : {"a", "b"}) {
+      recordTime(Table, Slow, "read", milliseconds(200));
+    }
+    for (const char *Fast : {"c", "d"}) {
+      recordTime(Table, Fast, "read", milliseconds(50));
+    }
+  }
+  for (double Draw : {0.0, 0.3, 0.6, 0.99}) {
+    std::string Chosen = choose({Draw, 0.0});
+    // Two are drawn; the one elsewhere is taken whenever it is among them.
+    CHECK(Chosen == "c" || Chosen == "d" || Draw < 0.5);
+  }
+}
+
+TEST(Upstreams, EarlierIncarnationBehindTheSameNodeIsNoCandidate) {
+  configuration::catalog Catalog;
+  configuration::instance Old;
+  Old.Name = "old";
+  Old.Address = "10.0.0.1:1";
+  Old.BornMs = 1;
+  configuration::instance New = Old;
+  New.Name = "new";
+  New.BornMs = 2;
+  Catalog.Instances["s"] = {{"old", Old}, {"new", New}};
+  auto Listed = listCandidates(Catalog, Table, "s", at(0));
+  LONGS_EQUAL(1, Listed.size());
+  STRCMP_EQUAL("new", Listed[0].Name.c_str());
+}
