--- a/src/http/tests/client_tests.cpp
+++ b/src/http/tests/client_tests.cpp
@@ -14,7 +14,7 @@
          Body;
 }
 
-response_filter onlyFor(std::string Id) {
+response_filter onlyFor(const std::string &Id) {
   return [Id](const response &Response) {
     return *findHeader(Response.Headers, "Id") == Id;
   };
--- a/src/http/tests/server_tests.cpp
+++ b/src/http/tests/server_tests.cpp
@@ -18,7 +18,7 @@
   std::set<std::string> Answered;
   std::map<std::string, kj::Own<kj::PromiseFulfiller<response>>> Open;
 
-  kj::Promise<response> handle(request Request) {
+  kj::Promise<response> handle(const request &Request) {
     Started.push_back(Request.Target);
     auto Pair = kj::newPromiseAndFulfiller<response>();
     Open[Request.Target] = kj::mv(Pair.fulfiller);
@@ -47,8 +47,8 @@
 struct server_session {
   kj::AsyncIoContext Io = kj::setupAsyncIo();
   fake_handler Handler;
-  server Server{Io.provider->getTimer(), [this](request Request) {
-                  return Handler.handle(kj::mv(Request));
+  server Server{Io.provider->getTimer(), [this](const request &Request) {
+                  return Handler.handle(Request);
                 }};
   kj::TwoWayPipe Pipe = kj::newTwoWayPipe();
   kj::Promise<void> Serving =
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -42,7 +42,7 @@
               return Callers.serveConnection(Stream);
             },
             httpSettings(Callers)),
-        Ready(Node.Timer, [this, &Deployment](http::request Request) {
+        Ready(Node.Timer, [this, &Deployment](const http::request &Request) {
           return answerReady(Deployment, Request);
         }) {
     if (Deployment.Dialect != nullptr) {
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -332,7 +332,8 @@
   }
   for (const auto &[Service, Instances] : Node.Store.Catalog.Instances) {
     for (const auto &[Name, Instance] : Instances) {
-      std::string Key = "instances/" + Service + "/" + Name;
+      std::string Key = "instances/";
+      Key.append(Service).append("/").append(Name);
       auto Held = Node.Store.Newest.find(Key);
       bool Older = Held != Node.Store.Newest.end() &&
                    Held->second.Revision < News.ListedAt;
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -34,8 +34,7 @@
   std::shared_ptr<call_context> findParent(const std::string &Name) const;
 
   void logAnswer(const std::string &Name, const std::string &Route,
-                 const work_answer &Answer,
-                 framework::milliseconds Objective,
+                 const work_answer &Answer, framework::milliseconds Objective,
                  framework::monotonic_time Started);
 
   node_runtime &Node;
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -170,8 +170,7 @@
   if (Near == nullptr) {
     return Any;
   }
-  double Bound =
-      Table.Settings.SpillFactor * costOf(Table, Near->Address, Now);
+  double Bound = Table.Settings.SpillFactor * costOf(Table, Near->Address, Now);
   bool KeepNear = costOf(Table, Any->Address, Now) >= Bound;
   return KeepNear ? Near : Any;
 }
@@ -208,8 +207,8 @@
   constexpr double MicrosecondsPerMs = 1000.0;
   constexpr double LeastMs = 0.1;
   constexpr double MostRatio = 8.0;
-  double Ms = std::max(LeastMs, static_cast<double>(Taken.count()) /
-                                    MicrosecondsPerMs);
+  double Ms =
+      std::max(LeastMs, static_cast<double>(Taken.count()) / MicrosecondsPerMs);
   auto Usual = Table.UsualMs.find(Kind);
   if (Usual == Table.UsualMs.end()) {
     Usual = Table.UsualMs.try_emplace(std::string(Kind), Ms).first;
