--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -190,8 +190,9 @@
 constexpr milliseconds RouteLameDuck{2'300};
 /// Time before that at which other nodes are told to go elsewhere.
 constexpr milliseconds AnnounceAhead{400};
-/// Time before the end of the grace at which the last connections are closed.
-constexpr milliseconds CloseMargin{500};
+/// Time before the end of the grace at which the last connections are closed;
+/// covers a call to the platform that has just begun to connect.
+constexpr milliseconds CloseMargin{900};
 
 task<void> sleepUntil(node_runtime &Node, framework::monotonic_time Time) {
   co_await Node.Timer.afterDelay(toDuration(Time - readClocks().Monotonic));
