--- a/src/framework/settings.cpp
+++ b/src/framework/settings.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdio>
 #include <fstream>
 #include <sstream>
 
@@ -168,6 +169,29 @@
   return Text.str();
 }
 
+std::optional<int>
+answerWithoutRunning(const given_settings &Given, const std::string &Program,
+                     const std::vector<setting_spec> &Specs) {
+  constexpr const char *Version = " 0.1.0";
+  if (Given.Help) {
+    std::fputs(formatHelp(Program + " [settings]", Specs).c_str(), stdout);
+    return 0;
+  }
+  if (Given.Version) {
+    std::puts((Program + Version).c_str());
+    return 0;
+  }
+  if (!Given.Findings.empty()) {
+    std::fputs(formatFindings(Given.Findings).c_str(), stderr);
+    return BadSettingsExitCode;
+  }
+  if (Given.Check) {
+    std::puts("settings are valid");
+    return 0;
+  }
+  return std::nullopt;
+}
+
 std::string textSetting(const given_settings &Given, std::string_view Name) {
   auto Found = Given.Values.find(Name);
   return Found == Given.Values.end() ? std::string() : Found->second.Value;
--- a/src/framework/settings.h
+++ b/src/framework/settings.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -54,6 +55,13 @@
 std::string formatHelp(std::string_view Usage,
                        const std::vector<setting_spec> &Specs);
 
+/// Answers what the settings ask of \p Program other than to run: its help, its
+/// version, a check, or a report of all findings. Returns the exit code;
+/// nothing where the program should run.
+std::optional<int> answerWithoutRunning(const given_settings &Given,
+                                        const std::string &Program,
+                                        const std::vector<setting_spec> &Specs);
+
 /// The text given for \p Name, or its default.
 std::string textSetting(const given_settings &Given, std::string_view Name);
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -251,8 +251,8 @@
              static_cast<std::uint64_t>(Parts.Upstream.unfinished())}});
 }
 
-/// Logs that the settings file has changed. Seeds are the only setting that may
-/// change while the node runs.
+/// Reads the settings again each second and on SIGHUP. Seeds are the only
+/// setting that may change while the node runs.
 task<void> reloadLoop(node_parts &Parts, const deployment &Deployment,
                       kj::UnixEventPort &Port) {
   constexpr milliseconds LookInterval{1'000};
