Changes reach every node of a small zone; silent peers are passed over

Pushes drew with repetition, so three draws in a zone of five miss a node now and then, and the exchange that mends this waited a second for each silent peer before it asked the next, and asked the same again. Ruled out: a slow reader (the other nodes of the zone had the version at once). Change: peers are drawn without repetition; a change goes to all nodes of a zone of up to nine; exchanges run each 0.5 s beside one another (three at most) and pass over peers that have not answered for 3 s. A reader waits 0.2 s after news, so that changes in quick succession cost one call.

--- a/src/membership/readers.cpp
+++ b/src/membership/readers.cpp
@@ -3,6 +3,8 @@
 #include "framework/hashing.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace figplank::membership {
 
@@ -37,21 +39,44 @@
 std::vector<std::string> pickPeers(const std::vector<std::string> &Members,
                                    std::string_view Self,
                                    const std::vector<double> &Draws) {
+  std::vector<std::string> Left;
+  std::copy_if(Members.begin(), Members.end(), std::back_inserter(Left),
+               [Self](const std::string &Member) { return Member != Self; });
   std::vector<std::string> Picked;
-  if (Members.empty()) {
-    return Picked;
-  }
   for (double Draw : Draws) {
-    auto Index =
-        static_cast<std::size_t>(Draw * static_cast<double>(Members.size()));
-    const std::string &Member = Members[std::min(Index, Members.size() - 1)];
-    bool Repeated =
-        std::find(Picked.begin(), Picked.end(), Member) != Picked.end();
-    if (Member != Self && !Repeated) {
-      Picked.push_back(Member);
+    if (Left.empty()) {
+      break;
     }
+    auto Drawn =
+        static_cast<std::size_t>(Draw * static_cast<double>(Left.size()));
+    auto Index = std::min(Drawn, Left.size() - 1);
+    Picked.push_back(std::move(Left[Index]));
+    Left.erase(Left.begin() + static_cast<std::ptrdiff_t>(Index));
   }
   return Picked;
 }
 
+void recordExchange(silent_peers &Silent, const std::string &Peer,
+                    bool Answered, framework::monotonic_time Now) {
+  std::erase_if(Silent.Until,
+                [Now](const auto &Entry) { return Entry.second <= Now; });
+  if (Answered) {
+    Silent.Until.erase(Peer);
+  } else {
+    Silent.Until[Peer] = Now + Silent.Rest;
+  }
+}
+
+std::vector<std::string> listAnswering(const silent_peers &Silent,
+                                       const std::vector<std::string> &Members,
+                                       framework::monotonic_time Now) {
+  std::vector<std::string> Answering;
+  std::copy_if(Members.begin(), Members.end(), std::back_inserter(Answering),
+               [&](const std::string &Member) {
+                 auto Found = Silent.Until.find(Member);
+                 return Found == Silent.Until.end() || Found->second <= Now;
+               });
+  return Answering;
+}
+
 } // namespace figplank::membership
--- a/src/membership/readers.h
+++ b/src/membership/readers.h
@@ -9,6 +9,7 @@
 #include "framework/timetypes.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,10 +38,26 @@
 std::vector<std::string> listNodes(const configuration::catalog &Catalog,
                                    std::string_view Zone);
 
-/// Picks up to \p Count different members of \p Members other than \p Self.
-/// \p Draws holds Count random numbers in [0, 1).
+/// Picks a different member of \p Members other than \p Self for each of
+/// \p Draws, random numbers in [0, 1), while there are any.
 std::vector<std::string> pickPeers(const std::vector<std::string> &Members,
                                    std::string_view Self,
                                    const std::vector<double> &Draws);
 
+/// Peers that did not answer an exchange of late. They are passed over, so that
+/// a node among many dead or cut-off ones still hears of changes in time.
+struct silent_peers {
+  /// Time after which a silent peer is asked again.
+  framework::milliseconds Rest{3'000};
+  std::map<std::string, framework::monotonic_time> Until;
+};
+
+void recordExchange(silent_peers &Silent, const std::string &Peer,
+                    bool Answered, framework::monotonic_time Now);
+
+/// The members of \p Members that are not known to be silent.
+std::vector<std::string> listAnswering(const silent_peers &Silent,
+                                       const std::vector<std::string> &Members,
+                                       framework::monotonic_time Now);
+
 } // namespace figplank::membership
--- a/src/membership/tests/readers_tests.cpp
+++ b/src/membership/tests/readers_tests.cpp
@@ -67,6 +67,28 @@
   CHECK(pickPeers({}, "b", {0.5}).empty());
 }
 
+TEST(Readers, EqualDrawsPickDifferentPeers) {
+  std::vector<std::string> Picked =
+      pickPeers({"a", "b", "c", "d"}, "b", {0.0, 0.0, 0.0, 0.0});
+  LONGS_EQUAL(3, Picked.size());
+  CHECK(std::set<std::string>(Picked.begin(), Picked.end()) ==
+        std::set<std::string>({"a", "c", "d"}));
+}
+
+TEST(Readers, SilentPeerIsPassedOverForAWhile) {
+  silent_peers Silent;
+  monotonic_time Start(milliseconds(1'000));
+  recordExchange(Silent, "a", false, Start);
+  recordExchange(Silent, "b", false, Start);
+  recordExchange(Silent, "b", true, Start);
+  std::vector<std::string> Answering =
+      listAnswering(Silent, {"a", "b", "c"}, Start + milliseconds(1));
+  LONGS_EQUAL(2, Answering.size());
+  STRCMP_EQUAL("b", Answering[0].c_str());
+  LONGS_EQUAL(
+      3, listAnswering(Silent, {"a", "b", "c"}, Start + Silent.Rest).size());
+}
+
 TEST_GROUP(Pause){};
 
 TEST(Pause, OnlyLongGapsCount) {
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -178,8 +178,11 @@
 
 void disseminator::spread(const std::vector<published_entry> &Entries,
                           std::uint8_t Hops) {
-  for (const std::string &Peer :
-       choosePeers(Settings.NearFanout, Settings.FarFanout)) {
+  // NOTE The list holds this node too.
+  std::size_t Near = ZoneNodes.size() <= Settings.SmallZone + 1
+                         ? ZoneNodes.size()
+                         : Settings.NearFanout;
+  for (const std::string &Peer : choosePeers(Near, Settings.FarFanout)) {
     Node.Tasks.add(push(Peer, Entries, Hops));
   }
 }
@@ -244,25 +247,48 @@
   co_return Step;
 }
 
-task<bool> disseminator::exchangeWith(std::string Address) {
+task<disseminator::exchange_step>
+disseminator::exchangeSteps(kj::Own<peer_connection> Connection) {
+  exchange_step Step = co_await exchangeOnce(*Connection, false);
+  if (!Step.Answered) {
+    co_return Step;
+  }
+  ++AnsweredExchanges;
+  KJ_DEFER(--AnsweredExchanges);
+  // A new node takes the whole copy in several steps from one peer.
+  constexpr unsigned MaxSteps = 1'000;
+  for (unsigned I = 1; I < MaxSteps && (Step.More || Step.CompareBuckets);
+       ++I) {
+    exchange_step Next =
+        co_await exchangeOnce(*Connection, Step.CompareBuckets);
+    if (!Next.Answered) {
+      break;
+    }
+    Step = Next;
+  }
+  co_return Step;
+}
+
+task<void> disseminator::exchangeWith(std::string Address) {
+  ++Exchanges;
+  KJ_DEFER(--Exchanges);
+  // Until it answers, no other exchange goes to it.
+  membership::recordExchange(Silent, Address, false, readClocks().Monotonic);
   connection_result Connected = co_await Peers.connect(Address);
-  bool Answered = false;
+  exchange_step Step;
   KJ_IF_MAYBE (Connection, Connected.Got) {
-    exchange_step Step;
-    // A new node takes the whole copy in several steps from one peer.
-    constexpr unsigned MaxSteps = 1'000;
-    for (unsigned I = 0; I < MaxSteps; ++I) {
-      Step = co_await exchangeOnce(**Connection, Step.CompareBuckets);
-      Answered |= Step.Answered;
-      if (!Step.Answered || (!Step.More && !Step.CompareBuckets)) {
-        break;
-      }
-    }
-    if (Step.Answered) {
-      heard(Step.Ready);
-    }
+    Step = co_await exchangeSteps(kj::mv(*Connection));
+  }
+  membership::recordExchange(Silent, Address, Step.Answered,
+                             readClocks().Monotonic);
+  if (Step.Answered) {
+    heard(Step.Ready);
   }
-  co_return Answered;
+}
+
+bool disseminator::mayStartExchange() const {
+  // While one peer sends its whole copy, the others would send the same.
+  return AnsweredExchanges == 0 && Exchanges < Settings.MaxExchanges;
 }
 
 void disseminator::heard(bool FromReady) {
@@ -283,10 +309,15 @@
     return Numbers;
   };
   const std::string &Self = Node.Settings.RpcAddress;
-  std::vector<std::string> Chosen =
-      membership::pickPeers(ZoneNodes, Self, Draws(Near));
+  monotonic_time Now = readClocks().Monotonic;
+  std::vector<std::string> Chosen = membership::pickPeers(
+      membership::listAnswering(Silent, ZoneNodes, Now), Self, Draws(Near));
+  std::vector<std::string> Anywhere;
+  if (Far > 0) {
+    Anywhere = membership::listAnswering(Silent, AllNodes, Now);
+  }
   for (const std::string &Peer :
-       membership::pickPeers(AllNodes, Self, Draws(Far))) {
+       membership::pickPeers(Anywhere, Self, Draws(Far))) {
     if (std::find(Chosen.begin(), Chosen.end(), Peer) == Chosen.end()) {
       Chosen.push_back(Peer);
     }
@@ -297,6 +328,9 @@
 std::string disseminator::chooseExchangePeer() {
   bool Far = Node.draw() < Settings.FarFraction;
   std::vector<std::string> Chosen = Far ? choosePeers(0, 1) : choosePeers(1, 0);
+  if (Chosen.empty() && !Far) {
+    Chosen = choosePeers(0, 1);
+  }
   bool UseSeed =
       Chosen.empty() || !Node.Condition.Ready || Node.Condition.ViewStale;
   if (UseSeed && !Node.Settings.Seeds.empty()) {
@@ -308,8 +342,9 @@
 task<void> disseminator::exchangeLoop() {
   while (true) {
     std::string Peer = chooseExchangePeer();
-    if (!Peer.empty() && Peer != Node.Settings.RpcAddress) {
-      co_await exchangeWith(Peer);
+    bool Other = !Peer.empty() && Peer != Node.Settings.RpcAddress;
+    if (Other && mayStartExchange()) {
+      Node.Tasks.add(exchangeWith(Peer));
     }
     bool Hurry = !Node.Condition.Ready || Node.Condition.ViewStale;
     milliseconds Pause = Hurry ? milliseconds(100) : Settings.ExchangeInterval;
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -22,9 +22,13 @@
   /// Peers in the own zone, and anywhere, that a change is pushed to.
   std::size_t NearFanout = 3;
   std::size_t FarFanout = 1;
+  /// Most peers of a zone so small that a change is pushed to all of them.
+  std::size_t SmallZone = 8;
   /// Bound of the hops of one push.
   std::uint8_t MaxHops = 24;
-  framework::milliseconds ExchangeInterval{1'000};
+  framework::milliseconds ExchangeInterval{500};
+  /// Most exchanges at a time, so that silent peers do not hold up the next.
+  std::size_t MaxExchanges = 3;
   framework::milliseconds CallTimeout{1'000};
   /// Part of the exchanges that go to any zone.
   double FarFraction = 0.25;
@@ -88,8 +92,10 @@
 
   task<exchange_step> exchangeOnce(peer_connection &Connection,
                                    bool SendBuckets);
-  /// Exchanges with one peer; returns whether it answered.
-  task<bool> exchangeWith(std::string Address);
+  task<void> exchangeWith(std::string Address);
+  /// Exchanges step by step until the copies agree; returns the last step.
+  task<exchange_step> exchangeSteps(kj::Own<peer_connection> Connection);
+  bool mayStartExchange() const;
   task<void> push(std::string Address,
                   std::vector<configuration::published_entry> Entries,
                   std::uint8_t Hops);
@@ -119,6 +125,10 @@
   bool PlatformHeard = false;
   bool PeerHeard = false;
   std::size_t SeedTurn = 0;
+  membership::silent_peers Silent;
+  std::size_t Exchanges = 0;
+  /// Those of them that a peer answered and that go on.
+  std::size_t AnsweredExchanges = 0;
   /// Addresses on the list of instances, in the own zone and everywhere.
   std::vector<std::string> ZoneNodes;
   std::vector<std::string> AllNodes;
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -15,6 +15,8 @@
 constexpr int ReadTimeoutSeconds = 15;
 constexpr int WatchMilliseconds = 10'000;
 constexpr std::chrono::milliseconds RetryPause{500};
+/// Pause after news, so that changes in quick succession cost one call.
+constexpr std::chrono::milliseconds GatherPause{200};
 
 std::optional<configuration::published_entry> parseEntry(const json &Entry) {
   bool Valid = Entry.is_object() && Entry.contains("key") &&
@@ -145,12 +147,15 @@
 void platform_reader::loop() {
   while (awaitActive()) {
     platform_news News = readOnce();
-    bool Reached = News.Reached;
-    Deliver(std::move(News));
-    if (!Reached) {
-      std::unique_lock<std::mutex> Lock(Mutex);
-      Changed.wait_for(Lock, RetryPause, [this]() { return Stopping; });
+    std::chrono::milliseconds Pause{0};
+    if (!News.Reached) {
+      Pause = RetryPause;
+    } else if (!News.Entries.empty()) {
+      Pause = GatherPause;
     }
+    Deliver(std::move(News));
+    std::unique_lock<std::mutex> Lock(Mutex);
+    Changed.wait_for(Lock, Pause, [this]() { return Stopping; });
   }
 }
 
--- a/src/node/tests/configuration_tests.cpp
+++ b/src/node/tests/configuration_tests.cpp
@@ -108,6 +108,35 @@
   CHECK(eventually([&]() { return allHold(Fleet, Newest); }));
 }
 
+TEST(Configuration, LastNodeOfAZoneWithoutThePlatformHearsOfChangesInTime) {
+  constexpr std::size_t Nodes = 10;
+  standins::fleet_spec Spec = ledgerFleet(Nodes, milliseconds(1));
+  Spec.Zones = 2;
+  Spec.Relays = true;
+  fleet Fleet(Spec);
+  CHECK(Fleet.awaitReady());
+  // Zone 1 holds every second node; all but one of them freeze.
+  Fleet.Platform->block({"127.0.1."});
+  std::size_t Last = 0;
+  for (std::size_t I = 0; I < Nodes; ++I) {
+    if (Fleet.Nodes[I].Zone != Fleet.Nodes[Last].Zone) {
+      continue;
+    }
+    if (I != Last) {
+      Fleet.signalNode(I, SIGSTOP);
+    }
+  }
+  for (int Change = 0; Change < 8; ++Change) {
+    std::uint64_t Newest = Fleet.Platform->publish("parameters/gamma/price",
+                                                   Change % 2 == 0 ? "{}" : "");
+    CHECK(eventually([&]() { return Fleet.status(Last)["revision"] == Newest; },
+                     milliseconds(4'000)));
+  }
+  for (std::size_t I = 0; I < Nodes; ++I) {
+    Fleet.signalNode(I, SIGCONT);
+  }
+}
+
 TEST(Configuration, FrozenReaderDoesNotHoldChangesUp) {
   fleet Fleet(ledgerFleet(6, milliseconds(1)));
   CHECK(Fleet.awaitReady());
