Reads of one route are told apart when a backend server crashes

The fingerprint of a request was its template, organisation and body. For routes the template is the route, and reads have no body: all reads of a route had one fingerprint. After a crash they were suspects together, ran one at a time, and a second crash condemned the route for ten minutes. Ruled out: nothing else tells them apart; ids are new with each attempt by design. Change: the path is part of the fingerprint. Test: FingerprintTellsRequestsApart does not compile before (there was no path); with the path left out of the hash it fails.

--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -108,7 +108,7 @@
 
 task<work_answer> upstream_service::admitAndRun(work_request Request) {
   const retry::fingerprint Fingerprint = retry::fingerprintOf(
-      Request.Template, Request.Organisation, Request.Body);
+      Request.Template, Request.Organisation, Request.Path, Request.Body);
   refusal_reason Reason = co_await awaitSuspects(Fingerprint, Request.Deadline);
   if (Reason == refusal_reason::None) {
     Reason = admit(Request, readClocks().Monotonic);
--- a/src/retry/suspects.cpp
+++ b/src/retry/suspects.cpp
@@ -58,10 +58,11 @@
 } // namespace
 
 fingerprint fingerprintOf(std::string_view Template,
-                          std::string_view Organisation,
+                          std::string_view Organisation, std::string_view Path,
                           std::string_view Body) {
   std::uint64_t Seed = framework::hashText(Template);
   Seed = framework::hashText(Organisation, Seed);
+  Seed = framework::hashText(Path, Seed);
   fingerprint Fingerprint = framework::hashText(Body, Seed);
   return Fingerprint == 0 ? 1 : Fingerprint;
 }
--- a/src/retry/suspects.h
+++ b/src/retry/suspects.h
@@ -20,12 +20,13 @@
 
 namespace figplank::retry {
 
-/// Hash of organisation, template and body; equal for a request that is sent
-/// again under a new id. Zero stands for none.
+/// Hash of template or route, organisation, path and body; equal for a request
+/// that is sent again under a new id. Zero stands for none.
 using fingerprint = std::uint64_t;
 
 fingerprint fingerprintOf(std::string_view Template,
-                          std::string_view Organisation, std::string_view Body);
+                          std::string_view Organisation, std::string_view Path,
+                          std::string_view Body);
 
 /// One death of a backend server, told to the service's other nodes.
 struct crash_report {
--- a/src/retry/tests/suspects_tests.cpp
+++ b/src/retry/tests/suspects_tests.cpp
@@ -89,8 +89,12 @@
   CHECK(judge(Table, 100, at(700'000)) == suspect_verdict::Clear);
 }
 
-TEST(Suspects, FingerprintIgnoresTheId) {
-  CHECK(fingerprintOf("t", "o", "body") == fingerprintOf("t", "o", "body"));
-  CHECK(fingerprintOf("t", "o", "body") != fingerprintOf("t", "p", "body"));
-  CHECK(fingerprintOf("t", "o", "body") != fingerprintOf("t", "o", "body2"));
+TEST(Suspects, FingerprintTellsRequestsApart) {
+  const fingerprint First = fingerprintOf("t", "o", "/p", "body");
+  CHECK(fingerprintOf("t", "o", "/p", "body") == First);
+  CHECK(fingerprintOf("t", "p", "/p", "body") != First);
+  CHECK(fingerprintOf("t", "o", "/p", "body2") != First);
+  // Reads of one route differ by their path alone.
+  CHECK(fingerprintOf("r", "", "/read/1", "") !=
+        fingerprintOf("r", "", "/read/2", ""));
 }
