One line for each decision on a request; metrics by route and of each part; status of what a node believes

Cause: on-call engineers have only logs and metrics, and these did not lead from a request's id to its cause: the entry's line did not name the upstream, the upstream's node said nothing of what it refused, retries left no line, metrics had no route and no times of hop, queue and backend server, and the deploy file exposed none. Change: node/decisionlog with the lines of the entry (with upstream and tries), of each retry, of each refusal with its inputs (draw, share, expected run, time left, limit, queue) and of each failed run, and of upstreams lost and regained; connection_silent names its peer.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -59,8 +59,15 @@
   }
   std::printf("refusals           %s\n",
               Status.value("refusals", json::object()).dump().c_str());
-  for (const json &Upstream : Status.value("upstreams", json::array())) {
-    std::printf("upstream           %s\n", Upstream.dump().c_str());
+  constexpr std::pair<const char *, const char *> Lists[] = {
+      {"readers", "reader"},
+      {"routes", "route"},
+      {"instances", "instance"},
+      {"upstreams", "upstream"}};
+  for (const auto &[List, Label] : Lists) {
+    for (const json &Row : Status.value(List, json::array())) {
+      std::printf("%-18s %s\n", Label, Row.dump().c_str());
+    }
   }
 }
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -7,6 +7,7 @@
 
 using namespace figplank;
 
+constexpr const char *Prefix = "FIGPLANK_CLI_";
 constexpr const char *Usage = "figplank COMMAND [settings]\n"
                               "  check FILE...           check templates and "
                               "parameters before publishing\n"
@@ -27,7 +28,7 @@
 
 int badUsage(const std::string &Problem) {
   std::fprintf(stderr, "%s\n\n%s", Problem.c_str(),
-               framework::formatHelp(Usage, settingSpecs()).c_str());
+               framework::formatHelp(Usage, Prefix, settingSpecs()).c_str());
   return cli::BadUsage;
 }
 
@@ -65,10 +66,11 @@
 
 int main(int Count, char **Values) {
   framework::given_settings Given = framework::readSettings(
-      {Values + 1, Values + Count}, "FIGPLANK_CLI_", settingSpecs());
+      {Values + 1, Values + Count}, Prefix, settingSpecs());
   (void)framework::choiceSetting(Given, "json", {"yes", "no"});
   if (Given.Help) {
-    std::fputs(framework::formatHelp(Usage, settingSpecs()).c_str(), stdout);
+    std::fputs(framework::formatHelp(Usage, Prefix, settingSpecs()).c_str(),
+               stdout);
     return cli::Success;
   }
   if (Given.Version) {
--- a/src/framework/settings.cpp
+++ b/src/framework/settings.cpp
@@ -26,7 +26,8 @@
   return Variable;
 }
 
-options::options_description describe(const std::vector<setting_spec> &Specs) {
+options::options_description describe(std::string_view Prefix,
+                                      const std::vector<setting_spec> &Specs) {
   options::options_description Description("Settings");
   auto Add = Description.add_options();
   Add("help", "print this text");
@@ -39,6 +40,7 @@
     } else if (!Spec.Default.empty()) {
       Help += " (default " + Spec.Default + ")";
     }
+    Help += " [" + variableName(Prefix, Spec.Name) + "]";
     Add(Spec.Name.c_str(), options::value<std::string>(), Help.c_str());
   }
   return Description;
@@ -64,8 +66,9 @@
 }
 
 void readFlags(given_settings &Given, const std::vector<std::string> &Arguments,
+               std::string_view Prefix,
                const std::vector<setting_spec> &Specs) {
-  options::options_description Description = describe(Specs);
+  options::options_description Description = describe(Prefix, Specs);
   options::positional_options_description Positional;
   try {
     auto Parsed = options::command_line_parser(Arguments)
@@ -108,7 +111,8 @@
 
 /// Reads `name = value` lines. Names that are no settings are left to newer
 /// versions, since the file may be written for them.
-void readFile(given_settings &Given, const std::vector<setting_spec> &Specs) {
+void readFile(given_settings &Given, std::string_view Prefix,
+              const std::vector<setting_spec> &Specs) {
   auto Path = Given.Values.find(SettingsFileFlag);
   if (Path == Given.Values.end() || Path->second.Value.empty()) {
     return;
@@ -120,7 +124,8 @@
     return;
   }
   try {
-    auto Parsed = options::parse_config_file(File, describe(Specs), true);
+    auto Parsed =
+        options::parse_config_file(File, describe(Prefix, Specs), true);
     for (const options::option &Option : Parsed.options) {
       if (!Option.unregistered && !Option.value.empty()) {
         Given.Values.try_emplace(
@@ -146,9 +151,9 @@
                             std::string_view Prefix,
                             const std::vector<setting_spec> &Specs) {
   given_settings Given;
-  readFlags(Given, Arguments, Specs);
+  readFlags(Given, Arguments, Prefix, Specs);
   readEnvironment(Given, Prefix, Specs);
-  readFile(Given, Specs);
+  readFile(Given, Prefix, Specs);
   for (const setting_spec &Spec : Specs) {
     bool Missing = Given.Values.count(Spec.Name) == 0;
     if (Missing && Spec.Required) {
@@ -162,19 +167,21 @@
   return Given;
 }
 
-std::string formatHelp(std::string_view Usage,
+std::string formatHelp(std::string_view Usage, std::string_view Prefix,
                        const std::vector<setting_spec> &Specs) {
   std::ostringstream Text;
-  Text << "Usage: " << Usage << "\n\n" << describe(Specs);
+  Text << "Usage: " << Usage << "\n\n" << describe(Prefix, Specs);
   return Text.str();
 }
 
 std::optional<int>
 answerWithoutRunning(const given_settings &Given, const std::string &Program,
+                     std::string_view Prefix,
                      const std::vector<setting_spec> &Specs) {
   constexpr const char *Version = " 0.1.0";
   if (Given.Help) {
-    std::fputs(formatHelp(Program + " [settings]", Specs).c_str(), stdout);
+    std::fputs(formatHelp(Program + " [settings]", Prefix, Specs).c_str(),
+               stdout);
     return 0;
   }
   if (Given.Version) {
--- a/src/framework/settings.h
+++ b/src/framework/settings.h
@@ -51,8 +51,8 @@
                             std::string_view Prefix,
                             const std::vector<setting_spec> &Specs);
 
-/// The text of `--help`.
-std::string formatHelp(std::string_view Usage,
+/// The text of `--help`, with the variable of each setting.
+std::string formatHelp(std::string_view Usage, std::string_view Prefix,
                        const std::vector<setting_spec> &Specs);
 
 /// Answers what the settings ask of \p Program other than to run: its help, its
@@ -60,6 +60,7 @@
 /// nothing where the program should run.
 std::optional<int> answerWithoutRunning(const given_settings &Given,
                                         const std::string &Program,
+                                        std::string_view Prefix,
                                         const std::vector<setting_spec> &Specs);
 
 /// The text given for \p Name, or its default.
--- a/src/framework/tests/framework_tests.cpp
+++ b/src/framework/tests/framework_tests.cpp
@@ -53,6 +53,13 @@
       formatFindings(Given.Findings).c_str());
 }
 
+TEST(Settings, HelpNamesVariableAndDefault) {
+  std::string Help = formatHelp("tool", "FIGTEST_", Specs);
+  CHECK(Help.find("FIGTEST_COUNT") != std::string::npos);
+  CHECK(Help.find("default 5") != std::string::npos);
+  CHECK(Help.find("FIGTEST_NAME") != std::string::npos);
+}
+
 TEST(Settings, Addresses) {
   CHECK_TRUE(isAddress("127.0.0.1:80"));
   CHECK_TRUE(isAddress("[::1]:80"));
--- a/src/node/admin.cpp
+++ b/src/node/admin.cpp
@@ -30,6 +30,43 @@
   return List;
 }
 
+std::int64_t inMilliseconds(framework::microseconds Time) {
+  return std::chrono::duration_cast<framework::milliseconds>(Time).count();
+}
+
+json formatRoutes(const node_runtime &Node, framework::monotonic_time Now) {
+  json List = json::array();
+  for (const configuration::route &Route : Node.Store.Catalog.Routing.Routes) {
+    List.push_back({{"name", Route.Name},
+                    {"rank", Route.Rank},
+                    {"timeout_ms", Route.Timeout.count()},
+                    {"share", admission::chainShareOf(Node.ChainShares,
+                                                      Route.Name, "", Now)}});
+  }
+  return List;
+}
+
+/// Services, with state and zone, of the instances at an RPC address.
+json formatInstances(const node_runtime &Node) {
+  json List = json::array();
+  for (const auto &[Service, Instances] : Node.Store.Catalog.Instances) {
+    for (const auto &[Name, Instance] : Instances) {
+      auto Held = Node.Store.Newest.find("instances/" + Service + "/" + Name);
+      std::uint64_t Revision =
+          Held == Node.Store.Newest.end() ? 0 : Held->second.Revision;
+      List.push_back(
+          {{"service", Service},
+           {"name", Name},
+           {"zone", Instance.Zone},
+           {"address", Instance.Address},
+           {"state", std::string(framework::nameOf(
+                         configuration::InstanceStateNames, Instance.State))},
+           {"revision", Revision}});
+    }
+  }
+  return List;
+}
+
 json formatRefused(const node_runtime &Node) {
   json List = json::array();
   for (const auto &[Key, Refused] : Node.Store.Refused) {
@@ -69,7 +106,12 @@
   Status["view_stale"] = Node.Condition.ViewStale;
   Status["draining"] = Node.Condition.Draining;
   Status["unfinished"] = Upstream.unfinished();
+  framework::time_now Now = framework::readClocks();
   Status["reading_platform"] = Dissemination.isReading();
+  Status["readers"] = Dissemination.listReaders(Now.Wall);
+  Status["news_age_ms"] = inMilliseconds(Dissemination.newsAge(Now.Monotonic));
+  Status["routes_version"] = Node.Store.Catalog.Routing.Version;
+  Status["routes"] = formatRoutes(Node, Now.Monotonic);
   Status["revision"] = configuration::highestRevision(Node.Store);
   Status["digest"] = configuration::summaryDigest(Node.Store);
   Status["entries"] = Node.Store.Newest.size();
@@ -84,6 +126,7 @@
   Status["previous_roster"] = Node.Home.Previous.size();
   Status["refusals"] = formatRefusals(Node);
   Status["upstreams"] = formatUpstreams(Node);
+  Status["instances"] = formatInstances(Node);
   return Status.dump() + "\n";
 }
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -120,6 +120,12 @@
       static_cast<double>(Node.Suspects.Suspects.size()));
   Node.Metrics.IdsRun->Set(static_cast<double>(Node.Home.Runs));
   Node.Metrics.IdsFenced->Set(static_cast<double>(Node.Home.Fences));
+  Node.Metrics.RoutesVersion->Set(
+      static_cast<double>(Node.Store.Catalog.Routing.Version));
+  Node.Metrics.NewsAge->Set(
+      std::chrono::duration<double>(
+          Parts.Dissemination.newsAge(readClocks().Monotonic))
+          .count());
 }
 
 void tick(node_parts &Parts) {
--- /dev/null
+++ b/src/node/decisionlog.cpp
@@ -0,0 +1,102 @@
+#include "node/decisionlog.h"
+
+#include "framework/logging.h"
+
+namespace figplank::node {
+namespace {
+
+using framework::log_level;
+using framework::logFrequentEvent;
+using framework::milliseconds;
+using framework::monotonic_time;
+using framework::nameOf;
+using framework::refusal_reason;
+
+std::int64_t inMilliseconds(framework::microseconds Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
+/// The caller's own name of the request, or the root's id.
+const std::string &nameOfRequest(const work_request &Request) {
+  return Request.Forwarded ? Request.Forwarded->Name : Request.RootId;
+}
+
+} // namespace
+
+void logAnswer(const entry_record &Entry, const work_answer &Answer,
+               monotonic_time Now) {
+  bool Completed = Answer.Reason == refusal_reason::None;
+  if (Completed && Now - Entry.Started <= Entry.Objective) {
+    return;
+  }
+  logFrequentEvent(log_level::Info,
+                   Completed ? "request_late" : "request_not_completed",
+                   {{"request", Entry.Name},
+                    {"route", Entry.Route},
+                    {"outcome", nameOf(Answer.Outcome)},
+                    {"reason", nameOf(Answer.Reason)},
+                    {"status", static_cast<unsigned>(Answer.Status)},
+                    {"upstream", Answer.Upstream},
+                    {"tries", static_cast<unsigned>(Answer.Tries)},
+                    {"took_ms", inMilliseconds(Now - Entry.Started)},
+                    {"share", Answer.Share},
+                    {"upstream_limit", Answer.Load.Limit},
+                    {"upstream_in_flight", Answer.Load.InFlight},
+                    {"upstream_queued", Answer.Load.Queued},
+                    {"routes_version", Entry.RoutesVersion}},
+                   Now);
+}
+
+void logRetry(const work_request &Request, std::string_view Upstream,
+              std::string_view Cause, const work_answer &Answer,
+              monotonic_time Now) {
+  logFrequentEvent(log_level::Info, "request_retried",
+                   {{"request", nameOfRequest(Request)},
+                    {"route", Request.Template},
+                    {"upstream", Upstream},
+                    {"cause", Cause},
+                    {"outcome", nameOf(Answer.Outcome)},
+                    {"reason", nameOf(Answer.Reason)},
+                    {"left_ms", inMilliseconds(Request.Deadline - Now)}},
+                   Now);
+}
+
+void logRefusal(const work_request &Request, refusal_reason Reason,
+                const refusal_inputs &Inputs, monotonic_time Now) {
+  logFrequentEvent(log_level::Info, "request_refused",
+                   {{"request", nameOfRequest(Request)},
+                    {"route", Request.Template},
+                    {"reason", nameOf(Reason)},
+                    {"rank", static_cast<unsigned>(Request.Rank)},
+                    {"depth", static_cast<unsigned>(Request.Depth)},
+                    {"draw", Request.Draw},
+                    {"share", Inputs.Share},
+                    {"expected_ms", inMilliseconds(Inputs.ExpectedRun)},
+                    {"left_ms", inMilliseconds(Request.Deadline - Now)},
+                    {"limit", Inputs.Limit},
+                    {"in_flight", Inputs.InFlight},
+                    {"queued", static_cast<std::uint64_t>(Inputs.Queued)}},
+                   Now);
+}
+
+void logFailedRun(const work_request &Request, const work_answer &Answer,
+                  monotonic_time Started, monotonic_time Now) {
+  logFrequentEvent(
+      log_level::Info, "run_failed",
+      {{"request", nameOfRequest(Request)},
+       {"route", Request.Template},
+       {"outcome", nameOf(Answer.Outcome)},
+       {"reason", nameOf(Answer.Reason)},
+       {"status", static_cast<unsigned>(Answer.Status)},
+       {"instance", Request.Forwarded ? Request.Forwarded->Instance : ""},
+       {"took_ms", inMilliseconds(Now - Started)},
+       {"left_ms", inMilliseconds(Request.Deadline - Now)}},
+      Now);
+}
+
+void logUpstream(std::string_view Event, std::string_view Upstream,
+                 monotonic_time Now) {
+  logFrequentEvent(log_level::Info, Event, {{"upstream", Upstream}}, Now);
+}
+
+} // namespace figplank::node
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -1,5 +1,7 @@
 #include "node/dispatch.h"
 
+#include "node/decisionlog.h"
+
 #include <algorithm>
 
 namespace figplank::node {
@@ -164,6 +166,8 @@
       routing::recordTime(Node.Upstreams, Address, Request.Template,
                           readClocks().Monotonic - Now);
     }
+    Node.Metrics.Timing.Hop->Observe(
+        std::chrono::duration<double>(readClocks().Monotonic - Now).count());
     retry::giveBack(Budget, {Last.Answer.UnusedTries});
     MayHaveRun |= Last.MayHaveRun;
     Answer = kj::mv(Last.Answer);
@@ -178,6 +182,9 @@
     if (Free) {
       countRetry(Node.Metrics, Last.Reason);
     }
+    logRetry(Request, Address,
+             framework::nameOf(retry::RetryReasonNames, Last.Reason), Answer,
+             readClocks().Monotonic);
     bool InTime = co_await backOff(Retry, milliseconds(0), Request.Deadline);
     if (!InTime) {
       break;
@@ -188,9 +195,35 @@
   }
   Answer.UnusedTries = Budget.ExtraTries;
   Answer.MayRetry = false;
+  Answer.Tries =
+      static_cast<std::uint8_t>(std::min<std::size_t>(Tried.size(), UINT8_MAX));
+  if (!Tried.empty()) {
+    Answer.Upstream = Tried.back();
+  }
   co_return kj::mv(Answer);
 }
 
+void dispatcher::recordLost(const std::string &Address, monotonic_time Now) {
+  routing::recordFailure(Node.Upstreams, Address, Now);
+  const routing::upstream_view &View =
+      Node.Upstreams.Views.find(Address)->second;
+  if (View.FailuresInRow == 1) {
+    logUpstream("upstream_lost", Address, Now);
+  }
+}
+
+void dispatcher::recordHeard(const std::string &Address,
+                             const routing::reported_load &Load,
+                             monotonic_time Now) {
+  auto Known = Node.Upstreams.Views.find(Address);
+  bool WasLost =
+      Known != Node.Upstreams.Views.end() && Known->second.FailuresInRow > 0;
+  routing::recordAnswer(Node.Upstreams, Address, Load, Now);
+  if (WasLost) {
+    logUpstream("upstream_regained", Address, Now);
+  }
+}
+
 task<work_answer> dispatcher::dispatchToHome(work_request Request) {
   retry::tree_budget Budget{Request.ExtraTries};
   work_answer Answer = refuseWork(outcome::Unknown, refusal_reason::NoUpstream);
@@ -314,14 +347,14 @@
   monotonic_time Now = readClocks().Monotonic;
   if (Result.Answered) {
     Result.MayHaveRun = Result.Answer.Outcome != outcome::NotRun;
-    routing::recordAnswer(Node.Upstreams, Address, Result.Answer.Load, Now);
+    recordHeard(Address, Result.Answer.Load, Now);
     co_return kj::mv(Result);
   }
   // A connection that once carried answers may have gone silent alone; the
   // upstream is avoided only if a fresh one fails as well.
   if (Failure == call_failure::NotSent ||
       (Failure == call_failure::Lost && !Proven)) {
-    routing::recordFailure(Node.Upstreams, Address, Now);
+    recordLost(Address, Now);
   } else {
     routing::recordEnd(Node.Upstreams, Address);
   }
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -44,6 +44,10 @@
   /// leave it.
   bool takeRetry(const work_request &Request, retry::tree_budget &Budget,
                  retry::retry_reason Reason, framework::monotonic_time Now);
+  void recordHeard(const std::string &Address,
+                   const routing::reported_load &Load,
+                   framework::monotonic_time Now);
+  void recordLost(const std::string &Address, framework::monotonic_time Now);
   task<bool> backOff(unsigned Retry, framework::milliseconds RetryAfter,
                      framework::monotonic_time Deadline);
   /// When a refused caller may come back.
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -453,6 +453,17 @@
   }
 }
 
+std::vector<std::string>
+disseminator::listReaders(framework::wall_time Now) const {
+  std::vector<std::string> Readers;
+  for (const std::string &Member : ZoneNodes) {
+    if (membership::isReader(Node.ReaderSettings, Member, ZoneNodes, Now)) {
+      Readers.push_back(Member);
+    }
+  }
+  return Readers;
+}
+
 void disseminator::wake(framework::time_now Now) {
   Node.Condition.ViewStale = true;
   execution::resetHome(Node.Home, Now.Wall);
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -77,6 +77,12 @@
   void wake(framework::time_now Now);
 
   bool isReading() const { return Reading; }
+  /// The nodes of the own zone that choose themselves as readers now.
+  std::vector<std::string> listReaders(framework::wall_time Now) const;
+  /// Time since the platform or a peer was last heard.
+  framework::microseconds newsAge(framework::monotonic_time Now) const {
+    return Now - LastNews;
+  }
 
 private:
   task<void> exchangeLoop();
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -1,5 +1,7 @@
 #include "node/gateway.h"
 
+#include "node/decisionlog.h"
+
 #include <algorithm>
 
 namespace figplank::node {
@@ -70,31 +72,13 @@
   return Request;
 }
 
-void gateway::logAnswer(const std::string &Name, const std::string &Route,
-                        const work_answer &Answer, milliseconds Objective,
-                        monotonic_time Started) {
-  monotonic_time Now = readClocks().Monotonic;
-  bool Completed = Answer.Reason == refusal_reason::None;
-  if (Completed && Now - Started <= Objective) {
-    return;
-  }
-  framework::logFrequentEvent(
-      framework::log_level::Info,
-      Completed ? "request_late" : "request_not_completed",
-      {{"request", Name},
-       {"route", Route},
-       {"outcome", framework::nameOf(Answer.Outcome)},
-       {"reason", framework::nameOf(Answer.Reason)},
-       {"status", static_cast<unsigned>(Answer.Status)},
-       {"took_ms",
-        static_cast<std::int64_t>(
-            std::chrono::duration_cast<milliseconds>(Now - Started).count())},
-       {"share", Answer.Share},
-       {"upstream_limit", Answer.Load.Limit},
-       {"upstream_in_flight", Answer.Load.InFlight},
-       {"upstream_queued", Answer.Load.Queued},
-       {"routes_version", Node.Store.Catalog.Routing.Version}},
-      Now);
+void gateway::countAnswer(const std::string &Route, const work_answer &Answer,
+                          monotonic_time Started) {
+  route_metrics &Metrics = metricsOfRoute(Node.Metrics, Route);
+  Metrics.Answers[static_cast<std::size_t>(Answer.Outcome)]->Increment();
+  auto Taken = readClocks().Monotonic - Started;
+  Metrics.Seconds->Observe(std::chrono::duration<double>(Taken).count());
+  Metrics.Share->Set(Answer.Share);
 }
 
 task<http::response> gateway::serve(http::request Received) {
@@ -131,7 +115,12 @@
       Answer = co_await Dispatcher.dispatchChild(kj::mv(Request), Parent);
     }
   }
-  logAnswer(Head.Name, RouteName, Answer, Objective, Now);
+  logAnswer({Head.Name, RouteName, Now, Objective,
+             Node.Store.Catalog.Routing.Version},
+            Answer, readClocks().Monotonic);
+  if (Route != nullptr) {
+    countAnswer(RouteName, Answer, Now);
+  }
   Node.Metrics.AnsweredOutcomes[static_cast<std::size_t>(Answer.Outcome)]
       ->Increment();
   countRefusal(Node.Metrics.AnsweredReasons, Answer.Reason);
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -33,9 +33,8 @@
   /// if it is a caller's request.
   std::shared_ptr<call_context> findParent(const std::string &Name) const;
 
-  void logAnswer(const std::string &Name, const std::string &Route,
-                 const work_answer &Answer, framework::milliseconds Objective,
-                 framework::monotonic_time Started);
+  void countAnswer(const std::string &Route, const work_answer &Answer,
+                   framework::monotonic_time Started);
 
   node_runtime &Node;
   dispatcher &Dispatcher;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -14,8 +14,8 @@
     Given.Findings.push_back({"argument", Word, "is not expected"});
   }
   node::node_settings Settings = node::readNodeSettings(Given);
-  auto ExitCode =
-      framework::answerWithoutRunning(Given, "figplank_node", Specs);
+  auto ExitCode = framework::answerWithoutRunning(Given, "figplank_node",
+                                                  "FIGPLANK_", Specs);
   if (ExitCode) {
     return *ExitCode;
   }
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -53,16 +53,55 @@
   }
 }
 
-void addLatency(node_metrics &Metrics) {
-  const prometheus::Histogram::BucketBoundaries Seconds{
+constexpr std::size_t MaxRouteLabels = 300;
+
+const prometheus::Histogram::BucketBoundaries &secondsBuckets() {
+  static const prometheus::Histogram::BucketBoundaries Seconds{
       0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0};
+  return Seconds;
+}
+
+prometheus::Histogram *addHistogram(Registry &To, const std::string &Name,
+                                    const std::string &Help) {
+  return &BuildHistogram().Name(Name).Help(Help).Register(To).Add(
+      {}, secondsBuckets());
+}
+
+void addTiming(node_metrics &Metrics) {
+  Registry &To = *Metrics.Registry;
+  Metrics.Timing.Hop = addHistogram(
+      To, "figplank_hop_seconds", "Time from sending to an upstream's answer");
+  Metrics.Timing.Queue = addHistogram(
+      To, "figplank_queue_seconds", "Time in the queue of the backend server");
+  Metrics.Timing.Backend = addHistogram(To, "figplank_backend_seconds",
+                                        "Time at the backend server");
+}
+
+void addRoutes(node_metrics &Metrics) {
+  Registry &To = *Metrics.Registry;
+  Metrics.ByRoute.Answers = &BuildCounter()
+                                 .Name("figplank_route_answers_total")
+                                 .Help("Answers to callers, by route")
+                                 .Register(To);
+  Metrics.ByRoute.Seconds = &BuildHistogram()
+                                 .Name("figplank_route_answer_seconds")
+                                 .Help("Time to answer a caller, by route")
+                                 .Register(To);
+  Metrics.ByRoute.Shares =
+      &BuildGauge()
+           .Name("figplank_route_share")
+           .Help("Share of a route's requests that is admitted at the door")
+           .Register(To);
+}
+
+void addLatency(node_metrics &Metrics) {
   auto &Family = BuildHistogram()
                      .Name("figplank_answer_seconds")
                      .Help("Time to answer a caller, by rank")
                      .Register(*Metrics.Registry);
   for (std::size_t Rank = 0; Rank < Metrics.Latency.size(); ++Rank) {
     Metrics.Latency[Rank] =
-        &Family.Add({{"rank", std::to_string(Rank)}}, Seconds);
+        &Family.Add({{"rank", std::to_string(Rank)}}, secondsBuckets());
   }
 }
 
@@ -99,6 +138,8 @@
   addOutcomes(Metrics);
   addRetries(Metrics);
   addLatency(Metrics);
+  addTiming(Metrics);
+  addRoutes(Metrics);
   addDissemination(Metrics);
   Metrics.FirstTries =
       addCounter(To, "figplank_first_tries_total", "First tries sent");
@@ -121,6 +162,11 @@
                             "Requests that wait for the backend server");
   Metrics.Revision =
       addGauge(To, "figplank_revision", "Highest configuration revision held");
+  Metrics.RoutesVersion =
+      addGauge(To, "figplank_routes_version", "Version of the routes in force");
+  Metrics.NewsAge =
+      addGauge(To, "figplank_news_age_seconds",
+               "Time since the platform or a peer was last heard");
   Metrics.Suspects =
       addGauge(To, "figplank_suspects", "Requests suspected of crashes");
   Metrics.IdsRun = addGauge(To, "figplank_ids_run", "Ids kept that ran");
@@ -129,6 +175,27 @@
   return Metrics;
 }
 
+route_metrics &metricsOfRoute(node_metrics &Metrics, std::string_view Route) {
+  route_families &Families = Metrics.ByRoute;
+  auto Found = Families.Routes.find(Route);
+  if (Found != Families.Routes.end()) {
+    return Found->second;
+  }
+  if (Families.Routes.size() >= MaxRouteLabels && Route != "other") {
+    return metricsOfRoute(Metrics, "other");
+  }
+  const std::string Name(Route);
+  route_metrics Made;
+  for (std::size_t I = 0; I < Made.Answers.size(); ++I) {
+    Made.Answers[I] = &Families.Answers->Add(
+        {{"route", Name},
+         {"outcome", std::string(framework::OutcomeNames[I].Name)}});
+  }
+  Made.Seconds = &Families.Seconds->Add({{"route", Name}}, secondsBuckets());
+  Made.Share = &Families.Shares->Add({{"route", Name}});
+  return Families.Routes.emplace(Name, Made).first->second;
+}
+
 std::string formatMetrics(const node_metrics &Metrics) {
   return prometheus::TextSerializer().Serialize(Metrics.Registry->Collect());
 }
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -12,8 +12,11 @@
 #include <prometheus/registry.h>
 
 #include <array>
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace figplank::node {
 
@@ -36,6 +39,28 @@
   prometheus::Counter *Exchanges = nullptr;
 };
 
+/// Times of the parts of a request, in seconds.
+struct timing_histograms {
+  /// From sending to an upstream's node to its answer.
+  prometheus::Histogram *Hop = nullptr;
+  prometheus::Histogram *Queue = nullptr;
+  prometheus::Histogram *Backend = nullptr;
+};
+
+/// What the callers of one route got here.
+struct route_metrics {
+  std::array<prometheus::Counter *, framework::OutcomeNames.size()> Answers{};
+  prometheus::Histogram *Seconds = nullptr;
+  prometheus::Gauge *Share = nullptr;
+};
+
+struct route_families {
+  prometheus::Family<prometheus::Counter> *Answers = nullptr;
+  prometheus::Family<prometheus::Histogram> *Seconds = nullptr;
+  prometheus::Family<prometheus::Gauge> *Shares = nullptr;
+  std::map<std::string, route_metrics, std::less<>> Routes;
+};
+
 struct node_metrics {
   std::shared_ptr<prometheus::Registry> Registry;
   /// Refusals that this node decided for its own backend server.
@@ -52,11 +77,15 @@
   prometheus::Counter *BackendCrashes = nullptr;
   prometheus::Counter *Pauses = nullptr;
   rank_histograms Latency{};
+  timing_histograms Timing;
+  route_families ByRoute;
   dissemination_counters Dissemination;
   prometheus::Gauge *InFlight = nullptr;
   prometheus::Gauge *Limit = nullptr;
   prometheus::Gauge *Queued = nullptr;
   prometheus::Gauge *Revision = nullptr;
+  prometheus::Gauge *RoutesVersion = nullptr;
+  prometheus::Gauge *NewsAge = nullptr;
   prometheus::Gauge *Suspects = nullptr;
   prometheus::Gauge *IdsRun = nullptr;
   prometheus::Gauge *IdsFenced = nullptr;
@@ -73,6 +102,10 @@
   Metrics.Retries[static_cast<std::size_t>(Reason)]->Increment();
 }
 
+/// The metrics of \p Route, made when it is first seen. Beyond a few hundred
+/// routes the rest share one label.
+route_metrics &metricsOfRoute(node_metrics &Metrics, std::string_view Route);
+
 /// All metrics in the text format.
 std::string formatMetrics(const node_metrics &Metrics);
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -57,6 +57,7 @@
 kj::Own<peer_connection> peer_pool::adopt(const std::string &Address,
                                           kj::Own<kj::AsyncIoStream> Stream) {
   kj::Own<peer_connection> Connection = kj::refcounted<peer_connection>();
+  Connection->Address = Address;
   Connection->Stream = wrapPeerStream(
       kj::mv(Stream),
       isNear(Address) ? stream_coding::Plain : stream_coding::Compressed);
@@ -132,7 +133,8 @@
   if (!Connection->Dead) {
     Node.Metrics.DeadConnections->Increment();
     framework::logEvent(framework::log_level::Warning, "connection_silent",
-                        {{"outstanding", Connection->Outstanding}});
+                        {{"peer", Connection->Address},
+                         {"outstanding", Connection->Outstanding}});
   }
   giveUp(*Connection);
 }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -30,6 +30,7 @@
 
 /// One connection.
 struct peer_connection : public kj::Refcounted {
+  std::string Address;
   kj::Own<kj::AsyncIoStream> Stream;
   kj::Own<capnp::TwoPartyClient> Rpc;
   kj::Maybe<rpc::Node::Client> Client;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -1,5 +1,7 @@
 #include "node/upstream.h"
 
+#include "node/decisionlog.h"
+
 #include <algorithm>
 
 namespace figplank::node {
@@ -121,6 +123,7 @@
   if (Reason == refusal_reason::None) {
     Answer = co_await runAtBackend(Turn, Request, Fingerprint);
   } else {
+    logRefused(Request, Reason, readClocks().Monotonic);
     Answer = refuseWork(outcome::NotRun, Reason);
     Answer.RetryAfter = retryAfter();
     Answer.UnusedTries = Request.ExtraTries;
@@ -132,6 +135,19 @@
   co_return kj::mv(Answer);
 }
 
+void upstream_service::logRefused(const work_request &Request,
+                                  refusal_reason Reason,
+                                  monotonic_time Now) const {
+  double Share = std::min(
+      admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
+      admission::chainShareOf(Node.ChildShares, Request.Template,
+                              Request.Organisation, Now));
+  logRefusal(Request, Reason,
+             {Share, Node.Limit.Limit, Node.Limit.InFlight, Node.Queue.Size,
+              serviceTime(Request.Template)},
+             Now);
+}
+
 task<refusal_reason>
 upstream_service::awaitSuspects(retry::fingerprint Fingerprint,
                                 monotonic_time Deadline) {
@@ -343,6 +359,12 @@
                                   Request.Idempotent, Fingerprint);
   }
   Answer.UnusedTries = Context->Budget.ExtraTries;
+  monotonic_time End = readClocks().Monotonic;
+  Node.Metrics.Timing.Backend->Observe(
+      std::chrono::duration<double>(End - Start).count());
+  if (Answer.Reason != refusal_reason::None) {
+    logFailedRun(Context->Request, Answer, Start, End);
+  }
   co_return kj::mv(Answer);
 }
 
@@ -461,6 +483,8 @@
   std::optional<framework::microseconds> &Shortest = ShortestWaits[Rank];
   Shortest = std::min(Shortest.value_or(Waited), Waited);
   LongestWait = std::max(LongestWait, Waited);
+  Node.Metrics.Timing.Queue->Observe(
+      std::chrono::duration<double>(Waited).count());
 }
 
 framework::microseconds upstream_service::standingDelay() const {
--- a/src/node/worktypes.h
+++ b/src/node/worktypes.h
@@ -72,6 +72,9 @@
   /// Share of such work that the chain below admits.
   double Share = 1.0;
   routing::reported_load Load;
+  /// Where the entry sent it last, and how often it sent it.
+  std::string Upstream;
+  std::uint8_t Tries = 0;
 };
 
 /// What a refusal of a request that was not started may claim. Only the home of
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -12,9 +12,10 @@
       framework::readSettings({Values + 1, Values + Count}, "PLATFORM_", Specs);
   std::string Address = framework::addressSetting(Given, "address", false);
   if (Given.Help) {
-    std::fputs(
-        framework::formatHelp("figplank_platform [settings]", Specs).c_str(),
-        stdout);
+    std::fputs(framework::formatHelp("figplank_platform [settings]",
+                                     "PLATFORM_", Specs)
+                   .c_str(),
+               stdout);
     return 0;
   }
   if (!Given.Findings.empty()) {
