A node that restarts at its address gets work again within seconds

A node that drains tells so on its answers and to its service's nodes; these leave it out for 60 s, and only an answer of its own ends that, which nobody asks it for. After a rolling restart of nodes whose backend servers go on, each upstream was out of use for a minute at every node that had heard of its drain. Ruled out: the platform's list (the instances were live and unchanged). Change: the announcement is remembered for 3 s. One that still drains says so again, which costs a hop and no try; one that is gone refuses the connection.

--- a/src/node/tests/leaving_tests.cpp
+++ b/src/node/tests/leaving_tests.cpp
@@ -63,6 +63,32 @@
   LONGS_EQUAL(0, Fleet.awaitExit(0));
 }
 
+TEST(Leaving, RestartedNodesGetWorkAgainSoon) {
+  constexpr std::size_t Nodes = 3;
+  standins::fleet_spec Spec = ledgerFleet(Nodes, milliseconds(2));
+  Spec.Zones = 1;
+  fleet Fleet(Spec);
+  CHECK(awaitServing(Fleet));
+  load_generator Callers({Fleet.Nodes[0].Http});
+  // All but the entry restart in turn; their backend servers go on.
+  for (std::size_t I = 1; I < Nodes; ++I) {
+    Fleet.signalNode(I, SIGTERM);
+    for (int Call = 0; Call < 10; ++Call) {
+      CHECK(Callers.sendOne(priceStream(), "", 0).Whole);
+    }
+    LONGS_EQUAL(0, Fleet.awaitExit(I));
+    Fleet.startNode(I);
+  }
+  CHECK(awaitServing(Fleet));
+  Fleet.Log.clear();
+  CHECK(eventually(
+      [&]() {
+        (void)Callers.sendOne(priceStream(), "", 0);
+        return runsOn(Fleet, "ledger-2") > 0 && runsOn(Fleet, "ledger-3") > 0;
+      },
+      milliseconds(5'000)));
+}
+
 TEST(Leaving, DrainingBackendServerGetsNoNewWork) {
   fleet Fleet(ledgerFleet(2, milliseconds(2)));
   CHECK(awaitServing(Fleet));
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -48,9 +48,10 @@
   /// First time that a failed upstream is avoided; doubles up to the most.
   framework::milliseconds AvoidBase{100};
   framework::milliseconds AvoidMost{3'000};
-  /// Time that a drain announcement is remembered, longer than the platform's
-  /// list lags.
-  framework::milliseconds DrainMemory{60'000};
+  /// Time after which an upstream that announced a drain is tried again: it may
+  /// have been restarted at its address. One that still drains says so, and one
+  /// that is gone refuses the connection.
+  framework::milliseconds DrainMemory{3'000};
   /// Age at which a load report counts for nothing.
   framework::milliseconds ReportLifetime{1'000};
   /// Load of an upstream in the own zone above which others are considered:
