--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,7 +12,7 @@
 
 namespace figplank::cli {
 
-/// Exit codes, documented in docs/OPERATORS.md.
+/// Exit codes, documented in docs/OPERATIONS.md.
 enum exit_code : int {
   Success = 0,
   /// Findings, or a request that was refused as not run.
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -134,7 +134,12 @@
                          Now);
   if (Idempotent && Now > Deadline) {
     Node.Metrics.StaleAnswers->Increment();
-    Answer = refuseWork(outcome::Unknown, refusal_reason::DeadlinePassed);
+    work_answer Late =
+        refuseWork(outcome::Unknown, refusal_reason::DeadlinePassed);
+    Late.Upstream = kj::mv(Answer.Upstream);
+    Late.Tries = Answer.Tries;
+    Late.Load = Answer.Load;
+    Answer = kj::mv(Late);
   }
   co_return kj::mv(Answer);
 }
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -28,11 +28,31 @@
 /// How often a node considers whether it is a reader.
 constexpr milliseconds ChoiceInterval{500};
 
+/// What \p Entry says now, as far as operators ask for it.
+std::string_view stateOf(const published_entry &Entry,
+                         const configuration::store &Store) {
+  if (Entry.Value.empty()) {
+    return "gone";
+  }
+  for (const auto &[Service, Instances] : Store.Catalog.Instances) {
+    for (const auto &[Name, Instance] : Instances) {
+      if (Entry.Key == "instances/" + Service + "/" + Name) {
+        return framework::nameOf(configuration::InstanceStateNames,
+                                 Instance.State);
+      }
+    }
+  }
+  return "in_force";
+}
+
 void logApplied(const published_entry &Entry, apply_result Result,
                 const configuration::store &Store) {
   if (Result == apply_result::Accepted) {
-    logEvent(log_level::Debug, "entry_accepted",
-             {{"key", Entry.Key}, {"revision", Entry.Revision}});
+    framework::logFrequentEvent(log_level::Info, "entry_accepted",
+                                {{"key", Entry.Key},
+                                 {"revision", Entry.Revision},
+                                 {"entry", stateOf(Entry, Store)}},
+                                readClocks().Monotonic);
     return;
   }
   const framework::findings &Findings =
--- a/src/node/platformreader.h
+++ b/src/node/platformreader.h
@@ -41,7 +41,7 @@
   bool Linearizable = false;
 };
 
-/// The source that docs/OPERATORS.md describes: `GET /v1/watch`. Calls leave
+/// The source that docs/OPERATIONS.md describes: `GET /v1/watch`. Calls leave
 /// from \p SourceIp unless it is empty.
 platform_source watchSource(const std::string &Address,
                             const std::string &SourceIp);
