--- a/src/configuration/store.cpp
+++ b/src/configuration/store.cpp
@@ -120,6 +120,29 @@
   return apply_result::Accepted;
 }
 
+std::string instanceKey(std::string_view Service, std::string_view Name) {
+  std::string Key(InstancesPrefix);
+  Key.append(Service).append("/").append(Name);
+  return Key;
+}
+
+const instance *findInstance(const catalog &Catalog, std::string_view Key) {
+  if (!Key.starts_with(InstancesPrefix)) {
+    return nullptr;
+  }
+  Key.remove_prefix(InstancesPrefix.size());
+  std::size_t Slash = Key.find('/');
+  if (Slash == std::string_view::npos) {
+    return nullptr;
+  }
+  auto Service = Catalog.Instances.find(Key.substr(0, Slash));
+  if (Service == Catalog.Instances.end()) {
+    return nullptr;
+  }
+  auto Found = Service->second.find(Key.substr(Slash + 1));
+  return Found == Service->second.end() ? nullptr : &Found->second;
+}
+
 std::uint64_t summaryDigest(const store &Store) {
   return framework::hashText(
       std::string_view(reinterpret_cast<const char *>(Store.Digests.data()),
--- a/src/configuration/store.h
+++ b/src/configuration/store.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -66,6 +67,15 @@
 /// Takes \p Entry if it is newer than the held entry of its key.
 apply_result applyEntry(store &Store, const published_entry &Entry);
 
+/// What the keys of instances begin with.
+inline constexpr std::string_view InstancesPrefix = "instances/";
+
+/// The key of an instance's entry.
+std::string instanceKey(std::string_view Service, std::string_view Name);
+
+/// The instance whose entry has the key \p Key; null if there is none.
+const instance *findInstance(const catalog &Catalog, std::string_view Key);
+
 /// One hash over all buckets.
 std::uint64_t summaryDigest(const store &Store);
 
--- a/src/configuration/tests/store_tests.cpp
+++ b/src/configuration/tests/store_tests.cpp
@@ -94,6 +94,19 @@
   CHECK(summaryDigest(Store) == summaryDigest(Other));
 }
 
+TEST(Store, InstancesAreFoundByTheirKeys) {
+  const std::string Key = instanceKey("s", "i/1");
+  STRCMP_EQUAL("instances/s/i/1", Key.c_str());
+  applyEntry(Store, {"instances/s/i", 1,
+                     R"({"zone":"z","address":"127.0.0.1:1","state":"live"})"});
+  const instance *Found = findInstance(Store.Catalog, "instances/s/i");
+  CHECK(Found != nullptr);
+  STRCMP_EQUAL("z", Found->Zone.c_str());
+  POINTERS_EQUAL(nullptr, findInstance(Store.Catalog, "instances/s/j"));
+  POINTERS_EQUAL(nullptr, findInstance(Store.Catalog, "instances/s"));
+  POINTERS_EQUAL(nullptr, findInstance(Store.Catalog, "services/s"));
+}
+
 TEST(Store, ParametersAreHeldWithinTheTemplate) {
   applyEntry(Store, {"templates/t", 1, Template});
   CHECK_FALSE(resolveWork(Store.Catalog, "o", "t").has_value());
--- a/src/node/admin.cpp
+++ b/src/node/admin.cpp
@@ -51,7 +51,8 @@
   json List = json::array();
   for (const auto &[Service, Instances] : Node.Store.Catalog.Instances) {
     for (const auto &[Name, Instance] : Instances) {
-      auto Held = Node.Store.Newest.find("instances/" + Service + "/" + Name);
+      auto Held =
+          Node.Store.Newest.find(configuration::instanceKey(Service, Name));
       std::uint64_t Revision =
           Held == Node.Store.Newest.end() ? 0 : Held->second.Revision;
       List.push_back(
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -34,13 +34,11 @@
   if (Entry.Value.empty()) {
     return "gone";
   }
-  for (const auto &[Service, Instances] : Store.Catalog.Instances) {
-    for (const auto &[Name, Instance] : Instances) {
-      if (Entry.Key == "instances/" + Service + "/" + Name) {
-        return framework::nameOf(configuration::InstanceStateNames,
-                                 Instance.State);
-      }
-    }
+  const configuration::instance *Instance =
+      configuration::findInstance(Store.Catalog, Entry.Key);
+  if (Instance != nullptr) {
+    return framework::nameOf(configuration::InstanceStateNames,
+                             Instance->State);
   }
   return "in_force";
 }
@@ -106,7 +104,7 @@
   }
   bool Instances =
       std::any_of(News.begin(), News.end(), [](const published_entry &Entry) {
-        return Entry.Key.starts_with("instances/");
+        return Entry.Key.starts_with(configuration::InstancesPrefix);
       });
   if (Instances) {
     listNodes();
@@ -387,8 +385,7 @@
   }
   for (const auto &[Service, Instances] : Node.Store.Catalog.Instances) {
     for (const auto &[Name, Instance] : Instances) {
-      std::string Key = "instances/";
-      Key.append(Service).append("/").append(Name);
+      std::string Key = configuration::instanceKey(Service, Name);
       auto Held = Node.Store.Newest.find(Key);
       bool Older = Held != Node.Store.Newest.end() &&
                    Held->second.Revision < News.ListedAt;
