The entry says by which draw and share it refused

A request refused by the share that the entry already knows left only its answer's line, with share=1, since the refusal did not carry the share; figplank_route_share was set to 1 by each such refusal. Change: the refusal carries the share; request_refused_at_door has draw and share. No decision changes. Tests of node and sidecar pass.

--- a/src/node/decisionlog.cpp
+++ b/src/node/decisionlog.cpp
@@ -79,6 +79,17 @@
                    Now);
 }
 
+void logDoorRefusal(const work_request &Request, double Share,
+                    monotonic_time Now) {
+  logFrequentEvent(log_level::Info, "request_refused_at_door",
+                   {{"request", nameOfRequest(Request)},
+                    {"route", Request.Template},
+                    {"rank", static_cast<unsigned>(Request.Rank)},
+                    {"draw", Request.Draw},
+                    {"share", Share}},
+                   Now);
+}
+
 void logFailedRun(const work_request &Request, const work_answer &Answer,
                   monotonic_time Started, monotonic_time Now) {
   logFrequentEvent(
--- a/src/node/decisionlog.h
+++ b/src/node/decisionlog.h
@@ -43,6 +43,11 @@
 void logRefusal(const work_request &Request, framework::refusal_reason Reason,
                 const refusal_inputs &Inputs, framework::monotonic_time Now);
 
+/// Logs that the entry refused \p Request because the chain admits only \p
+/// Share.
+void logDoorRefusal(const work_request &Request, double Share,
+                    framework::monotonic_time Now);
+
 /// Logs a run at the backend server that \p Answer tells has failed.
 void logFailedRun(const work_request &Request, const work_answer &Answer,
                   framework::monotonic_time Started,
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -96,6 +96,8 @@
       work_answer Refused =
           refuseWork(outcome::NotRun, refusal_reason::Overload);
       Refused.RetryAfter = retryAfter(Request.Objective);
+      Refused.Share = Share;
+      logDoorRefusal(Request, Share, readClocks().Monotonic);
       co_return kj::mv(Refused);
     }
   }
