One copy of what the change had written several times; less on the hot path

Ruled out: caching superseded incarnations in the catalog; a service has too few upstreams for it to matter today.

--- a/src/framework/logging.cpp
+++ b/src/framework/logging.cpp
@@ -116,7 +116,7 @@
 
 /// Whether a line may be written now.
 bool takeLine(event_allowance &Event, monotonic_time Now) {
-  double Seconds = std::chrono::duration<double>(Now - Event.Filled).count();
+  double Seconds = inSeconds(Now - Event.Filled);
   Event.Filled = Now;
   Event.Lines = std::min(Event.Allowance.Burst,
                          Event.Lines + Seconds * Event.Allowance.PerSecond);
--- a/src/framework/timetypes.h
+++ b/src/framework/timetypes.h
@@ -33,14 +33,22 @@
               std::chrono::system_clock::now())};
 }
 
+inline double inSeconds(microseconds Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+/// Whole milliseconds, rounded towards zero.
+inline std::int64_t inMilliseconds(microseconds Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
 /// Milliseconds from \p From to \p To, never negative.
 inline std::uint32_t remainingMilliseconds(monotonic_time From,
                                            monotonic_time To) {
   if (To <= From) {
     return 0;
   }
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(To - From).count());
+  return static_cast<std::uint32_t>(inMilliseconds(To - From));
 }
 
 } // namespace figplank::framework
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -48,10 +48,7 @@
         Parser(message_parser::kind::Requests, Server.Limits.Parser) {
     Server.Open.push_back(this);
   }
-  ~connection() {
-    Server.Unanswered -= Waiting.size() + (Writing ? 1 : 0);
-    std::erase(Server.Open, this);
-  }
+  ~connection() { std::erase(Server.Open, this); }
   KJ_DISALLOW_COPY(connection);
 
   kj::Promise<void> run() {
@@ -60,6 +57,9 @@
     return Reading.exclusiveJoin(kj::mv(Answering));
   }
 
+  /// Requests that were read and not yet answered.
+  std::size_t unanswered() const { return Waiting.size() + (Writing ? 1 : 0); }
+
   /// Ends the connection if it has been served and nothing waits for an answer.
   /// A new connection still has its first request on the way.
   void close() {
@@ -173,7 +173,6 @@
   }
 
   void push(waiting_answer Answer) {
-    ++Server.Unanswered;
     Waiting.push_back(kj::mv(Answer));
     signal();
   }
@@ -197,7 +196,6 @@
       Writing = true;
       bool Close = co_await answer(kj::mv(Next));
       Writing = false;
-      --Server.Unanswered;
       Ended = Close;
     }
     co_await linger();
@@ -285,6 +283,14 @@
   }
 }
 
+std::size_t server::unanswered() const {
+  std::size_t Count = 0;
+  for (const connection *Connection : Open) {
+    Count += Connection->unanswered();
+  }
+  return Count;
+}
+
 void server::taskFailed(kj::Exception &&Exception) {
   framework::logEvent(framework::log_level::Error, "connection_failed",
                       {{"error", Exception.getDescription().cStr()}});
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -56,7 +56,7 @@
 
   std::size_t openConnections() const { return Open.size(); }
   /// Requests that were read and not yet answered.
-  std::size_t unanswered() const { return Unanswered; }
+  std::size_t unanswered() const;
 
 private:
   class connection;
@@ -69,7 +69,6 @@
   request_handler Handler;
   server_limits Limits;
   bool Closing = false;
-  std::size_t Unanswered = 0;
   std::vector<connection *> Open;
   kj::TaskSet Tasks;
 };
--- a/src/membership/readers.cpp
+++ b/src/membership/readers.cpp
@@ -3,8 +3,6 @@
 #include "framework/hashing.h"
 
 #include <algorithm>
-#include <iterator>
-#include <utility>
 
 namespace figplank::membership {
 
@@ -38,10 +36,18 @@
 
 std::vector<std::string> pickPeers(const std::vector<std::string> &Members,
                                    std::string_view Self,
-                                   const std::vector<double> &Draws) {
-  std::vector<std::string> Left;
-  std::copy_if(Members.begin(), Members.end(), std::back_inserter(Left),
-               [Self](const std::string &Member) { return Member != Self; });
+                                   const silent_peers &Silent,
+                                   const std::vector<double> &Draws,
+                                   framework::monotonic_time Now) {
+  if (Draws.empty()) {
+    return {};
+  }
+  std::vector<const std::string *> Left;
+  for (const std::string &Member : Members) {
+    if (Member != Self && !isSilent(Silent, Member, Now)) {
+      Left.push_back(&Member);
+    }
+  }
   std::vector<std::string> Picked;
   for (double Draw : Draws) {
     if (Left.empty()) {
@@ -50,12 +56,18 @@
     auto Drawn =
         static_cast<std::size_t>(Draw * static_cast<double>(Left.size()));
     auto Index = std::min(Drawn, Left.size() - 1);
-    Picked.push_back(std::move(Left[Index]));
+    Picked.push_back(*Left[Index]);
     Left.erase(Left.begin() + static_cast<std::ptrdiff_t>(Index));
   }
   return Picked;
 }
 
+bool isSilent(const silent_peers &Silent, const std::string &Peer,
+              framework::monotonic_time Now) {
+  auto Found = Silent.Until.find(Peer);
+  return Found != Silent.Until.end() && Now < Found->second;
+}
+
 void recordExchange(silent_peers &Silent, const std::string &Peer,
                     bool Answered, framework::monotonic_time Now) {
   std::erase_if(Silent.Until,
@@ -67,16 +79,4 @@
   }
 }
 
-std::vector<std::string> listAnswering(const silent_peers &Silent,
-                                       const std::vector<std::string> &Members,
-                                       framework::monotonic_time Now) {
-  std::vector<std::string> Answering;
-  std::copy_if(Members.begin(), Members.end(), std::back_inserter(Answering),
-               [&](const std::string &Member) {
-                 auto Found = Silent.Until.find(Member);
-                 return Found == Silent.Until.end() || Found->second <= Now;
-               });
-  return Answering;
-}
-
 } // namespace figplank::membership
--- a/src/membership/readers.h
+++ b/src/membership/readers.h
@@ -38,12 +38,6 @@
 std::vector<std::string> listNodes(const configuration::catalog &Catalog,
                                    std::string_view Zone);
 
-/// Picks a different member of \p Members other than \p Self for each of
-/// \p Draws, random numbers in [0, 1), while there are any.
-std::vector<std::string> pickPeers(const std::vector<std::string> &Members,
-                                   std::string_view Self,
-                                   const std::vector<double> &Draws);
-
 /// Peers that did not answer an exchange of late. They are passed over, so that
 /// a node among many dead or cut-off ones still hears of changes in time.
 struct silent_peers {
@@ -55,9 +49,15 @@
 void recordExchange(silent_peers &Silent, const std::string &Peer,
                     bool Answered, framework::monotonic_time Now);
 
-/// The members of \p Members that are not known to be silent.
-std::vector<std::string> listAnswering(const silent_peers &Silent,
-                                       const std::vector<std::string> &Members,
-                                       framework::monotonic_time Now);
+bool isSilent(const silent_peers &Silent, const std::string &Peer,
+              framework::monotonic_time Now);
+
+/// Picks a different member of \p Members, neither \p Self nor silent, for each
+/// of \p Draws, random numbers in [0, 1), while there are any.
+std::vector<std::string> pickPeers(const std::vector<std::string> &Members,
+                                   std::string_view Self,
+                                   const silent_peers &Silent,
+                                   const std::vector<double> &Draws,
+                                   framework::monotonic_time Now);
 
 } // namespace figplank::membership
--- a/src/membership/tests/readers_tests.cpp
+++ b/src/membership/tests/readers_tests.cpp
@@ -60,16 +60,16 @@
 
 TEST(Readers, PeersAreDifferentAndNeverSelf) {
   std::vector<std::string> Picked =
-      pickPeers({"a", "b", "c"}, "b", {0.0, 0.1, 0.4, 0.5, 0.99});
+      pickPeers({"a", "b", "c"}, "b", {}, {0.0, 0.1, 0.4, 0.5, 0.99}, {});
   LONGS_EQUAL(2, Picked.size());
   STRCMP_EQUAL("a", Picked[0].c_str());
   STRCMP_EQUAL("c", Picked[1].c_str());
-  CHECK(pickPeers({}, "b", {0.5}).empty());
+  CHECK(pickPeers({}, "b", {}, {0.5}, {}).empty());
 }
 
 TEST(Readers, EqualDrawsPickDifferentPeers) {
   std::vector<std::string> Picked =
-      pickPeers({"a", "b", "c", "d"}, "b", {0.0, 0.0, 0.0, 0.0});
+      pickPeers({"a", "b", "c", "d"}, "b", {}, {0.0, 0.0, 0.0, 0.0}, {});
   LONGS_EQUAL(3, Picked.size());
   CHECK(std::set<std::string>(Picked.begin(), Picked.end()) ==
         std::set<std::string>({"a", "c", "d"}));
@@ -81,12 +81,13 @@
   recordExchange(Silent, "a", false, Start);
   recordExchange(Silent, "b", false, Start);
   recordExchange(Silent, "b", true, Start);
-  std::vector<std::string> Answering =
-      listAnswering(Silent, {"a", "b", "c"}, Start + milliseconds(1));
+  auto PickedAt = [&Silent](monotonic_time Now) {
+    return pickPeers({"a", "b", "c"}, "self", Silent, {0.0, 0.0, 0.0}, Now);
+  };
+  std::vector<std::string> Answering = PickedAt(Start + milliseconds(1));
   LONGS_EQUAL(2, Answering.size());
   STRCMP_EQUAL("b", Answering[0].c_str());
-  LONGS_EQUAL(
-      3, listAnswering(Silent, {"a", "b", "c"}, Start + Silent.Rest).size());
+  LONGS_EQUAL(3, PickedAt(Start + Silent.Rest).size());
 }
 
 TEST_GROUP(Pause){};
--- a/src/node/admin.cpp
+++ b/src/node/admin.cpp
@@ -30,10 +30,6 @@
   return List;
 }
 
-std::int64_t inMilliseconds(framework::microseconds Time) {
-  return std::chrono::duration_cast<framework::milliseconds>(Time).count();
-}
-
 json formatRoutes(const node_runtime &Node, framework::monotonic_time Now) {
   json List = json::array();
   for (const configuration::route &Route : Node.Store.Catalog.Routing.Routes) {
@@ -110,7 +106,8 @@
   framework::time_now Now = framework::readClocks();
   Status["reading_platform"] = Dissemination.isReading();
   Status["readers"] = Dissemination.listReaders(Now.Wall);
-  Status["news_age_ms"] = inMilliseconds(Dissemination.newsAge(Now.Monotonic));
+  Status["news_age_ms"] =
+      framework::inMilliseconds(Dissemination.newsAge(Now.Monotonic));
   Status["routes_version"] = Node.Store.Catalog.Routing.Version;
   Status["routes"] = formatRoutes(Node, Now.Monotonic);
   Status["revision"] = configuration::highestRevision(Node.Store);
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -102,7 +102,9 @@
   Limits.Parser = {Published.MaxHeaderBytes, Published.MaxBodyBytes};
   Limits.HeaderTimeout = Published.HeaderTimeout;
   Limits.IdleTimeout = Published.IdleTimeout;
-  Parts.Gateway->Server.setLimits(Limits);
+  if (Parts.Gateway.get() != nullptr) {
+    Parts.Gateway->Server.setLimits(Limits);
+  }
 }
 
 void wake(node_parts &Parts, milliseconds Paused) {
@@ -111,7 +113,7 @@
   Parts.Dissemination.wake(readClocks());
 }
 
-void updateGauges(node_parts &Parts) {
+void updateGauges(node_parts &Parts, framework::monotonic_time Now) {
   node_runtime &Node = Parts.Node;
   Node.Metrics.InFlight->Set(Node.Limit.InFlight);
   Node.Metrics.Limit->Set(Node.Limit.Limit);
@@ -123,9 +125,7 @@
   Node.Metrics.RoutesVersion->Set(
       static_cast<double>(Node.Store.Catalog.Routing.Version));
   Node.Metrics.NewsAge->Set(
-      std::chrono::duration<double>(
-          Parts.Dissemination.newsAge(readClocks().Monotonic))
-          .count());
+      framework::inSeconds(Parts.Dissemination.newsAge(Now)));
 }
 
 void tick(node_parts &Parts) {
@@ -134,10 +134,7 @@
   Parts.Mailbox.drain();
   Parts.Upstream.tick(Now.Monotonic);
   Parts.Dissemination.tick(Now);
-  updateGauges(Parts);
-  if (Parts.Gateway.get() != nullptr) {
-    applyCallerLimits(Parts);
-  }
+  updateGauges(Parts, Now.Monotonic);
 }
 
 task<void> tickLoop(node_parts &Parts) {
@@ -303,6 +300,8 @@
   try {
     node_parts Parts(Settings, Deployment, Io);
     Parts.Node.OnPause = [&Parts](milliseconds Paused) { wake(Parts, Paused); };
+    Parts.Node.OnConfiguration = [&Parts]() { applyCallerLimits(Parts); };
+    applyCallerLimits(Parts);
     kj::Promise<void> Ticks = tickLoop(Parts);
     kj::Promise<void> Listening = listen(Parts);
     kj::Promise<void> Reloads = reloadLoop(Parts, Deployment, Io.unixEventPort);
--- a/src/node/decisionlog.cpp
+++ b/src/node/decisionlog.cpp
@@ -5,17 +5,13 @@
 namespace figplank::node {
 namespace {
 
+using framework::inMilliseconds;
 using framework::log_level;
 using framework::logFrequentEvent;
-using framework::milliseconds;
 using framework::monotonic_time;
 using framework::nameOf;
 using framework::refusal_reason;
 
-std::int64_t inMilliseconds(framework::microseconds Time) {
-  return std::chrono::duration_cast<milliseconds>(Time).count();
-}
-
 /// The caller's own name of the request, or the root's id.
 const std::string &nameOfRequest(const work_request &Request) {
   return Request.Forwarded ? Request.Forwarded->Name : Request.RootId;
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -34,9 +34,6 @@
 /// Upstreams that one request may be offered to without reaching a backend
 /// server.
 constexpr std::size_t MostUpstreamsTried = 4;
-/// Tokens for retries where each service is called by many nodes, which share
-/// what the service can bear.
-constexpr double RoutingAllowanceBurst = 3.0;
 
 /// Whether the request may have arrived at a backend server, which is what
 /// retries are bounded for.
@@ -53,16 +50,8 @@
     : Node(Node), Peers(Peers), Own(Own) {}
 
 retry::retry_allowance &dispatcher::allowanceOf(const std::string &Service) {
-  auto Found = Node.Allowances.find(Service);
-  if (Found == Node.Allowances.end()) {
-    retry::retry_allowance Allowance;
-    if (!Node.Settings.RouteAddress.empty()) {
-      Allowance.Burst = RoutingAllowanceBurst;
-      Allowance.Tokens = RoutingAllowanceBurst;
-    }
-    Found = Node.Allowances.emplace(Service, Allowance).first;
-  }
-  return Found->second;
+  return Node.Allowances.try_emplace(Service, Node.FirstAllowance)
+      .first->second;
 }
 
 milliseconds dispatcher::retryAfter(milliseconds Objective) {
@@ -89,10 +78,7 @@
         admission::chainShareOf(Node.ChainShares, Request.Template,
                                 Request.Organisation, readClocks().Monotonic);
     Request.Weight = 1.0 / Share;
-    // NOTE Only its home may say of a non-idempotent id that it did not run; a
-    // request of a route is new with each attempt and has no home.
-    bool MayRefuse = Request.Idempotent || Request.Forwarded.has_value();
-    if (MayRefuse && !admission::isAdmitted(Request.Draw, Share, 0)) {
+    if (!hasHome(Request) && !admission::isAdmitted(Request.Draw, Share, 0)) {
       work_answer Refused =
           refuseWork(outcome::NotRun, refusal_reason::Overload);
       Refused.RetryAfter = retryAfter(Request.Objective);
@@ -126,10 +112,10 @@
   Node.Metrics.FirstTries->Increment();
   retry::countFirstTry(allowanceOf(Request.Service));
   work_answer Answer;
-  if (Idempotent || Request.Forwarded) {
-    Answer = co_await dispatchToAny(kj::mv(Request));
-  } else {
+  if (hasHome(Request)) {
     Answer = co_await dispatchToHome(kj::mv(Request));
+  } else {
+    Answer = co_await dispatchToAny(kj::mv(Request));
   }
   monotonic_time Now = readClocks().Monotonic;
   admission::recordShare(Node.ChainShares, Template, Organisation, Answer.Share,
@@ -174,7 +160,7 @@
                           readClocks().Monotonic - Now);
     }
     Node.Metrics.Timing.Hop->Observe(
-        std::chrono::duration<double>(readClocks().Monotonic - Now).count());
+        framework::inSeconds(readClocks().Monotonic - Now));
     retry::giveBack(Budget, {Last.Answer.UnusedTries});
     MayHaveRun |= Last.MayHaveRun;
     Answer = kj::mv(Last.Answer);
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -111,6 +111,7 @@
   }
   if (!News.empty()) {
     applySettings();
+    Node.OnConfiguration();
     Node.Metrics.Revision->Set(
         static_cast<double>(configuration::highestRevision(Node.Store)));
   }
@@ -161,7 +162,7 @@
 }
 
 void disseminator::applySettings() {
-  if (!Node.Settings.RouteAddress.empty()) {
+  if (servesRoutes(Node.Settings)) {
     applyOwnInstance();
   }
   auto Service = Node.Store.Catalog.Services.find(Node.Settings.Service);
@@ -328,14 +329,10 @@
   };
   const std::string &Self = Node.Settings.RpcAddress;
   monotonic_time Now = readClocks().Monotonic;
-  std::vector<std::string> Chosen = membership::pickPeers(
-      membership::listAnswering(Silent, ZoneNodes, Now), Self, Draws(Near));
-  std::vector<std::string> Anywhere;
-  if (Far > 0) {
-    Anywhere = membership::listAnswering(Silent, AllNodes, Now);
-  }
+  std::vector<std::string> Chosen =
+      membership::pickPeers(ZoneNodes, Self, Silent, Draws(Near), Now);
   for (const std::string &Peer :
-       membership::pickPeers(Anywhere, Self, Draws(Far))) {
+       membership::pickPeers(AllNodes, Self, Silent, Draws(Far), Now)) {
     if (std::find(Chosen.begin(), Chosen.end(), Peer) == Chosen.end()) {
       Chosen.push_back(Peer);
     }
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -76,8 +76,8 @@
                           monotonic_time Started) {
   route_metrics &Metrics = metricsOfRoute(Node.Metrics, Route);
   Metrics.Answers[static_cast<std::size_t>(Answer.Outcome)]->Increment();
-  auto Taken = readClocks().Monotonic - Started;
-  Metrics.Seconds->Observe(std::chrono::duration<double>(Taken).count());
+  Metrics.Seconds->Observe(
+      framework::inSeconds(readClocks().Monotonic - Started));
   Metrics.Share->Set(Answer.Share);
 }
 
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -19,6 +19,8 @@
 constexpr double RoutingDecreaseFactor = 0.9;
 constexpr framework::milliseconds RoutingShareStaleAfter{300};
 constexpr double RoutingShareGrowth = 16.0;
+/// Each service is called by many nodes, which share what it can bear.
+constexpr double RoutingAllowanceBurst = 3.0;
 
 } // namespace
 
@@ -31,9 +33,10 @@
       Random(std::random_device{}()), Tasks(*this) {
   Pause.LastTick = framework::readClocks().Monotonic;
   WokeAt = Pause.LastTick - std::chrono::hours(1);
-  if (!Settings.RouteAddress.empty()) {
+  if (servesRoutes(Settings)) {
     Upstreams.Settings.DrainMemory = RoutingNodeRestart;
     Upstreams.Settings.AvoidMost = RoutingAvoidMost;
+    FirstAllowance = {RoutingAllowanceBurst, RoutingAllowanceBurst};
     // Nobody else reaches the backend server.
     Limit.Settings.LeastRunningForShed = RoutingLeastRunningForShed;
     Limit.Settings.CutByFailures = false;
@@ -45,6 +48,7 @@
     }
   }
   OnPause = [](framework::milliseconds) {};
+  OnConfiguration = []() {};
 }
 
 double node_runtime::draw() {
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -71,12 +71,16 @@
   retry::suspect_table Suspects;
   /// By service.
   configuration::text_map<retry::retry_allowance> Allowances;
+  /// What each of them begins with.
+  retry::retry_allowance FirstAllowance;
   routing::upstream_table Upstreams;
   membership::reader_settings ReaderSettings;
   membership::pause_detector Pause;
   framework::monotonic_time WokeAt;
   /// Called when a pause of the process has ended.
   std::function<void(framework::milliseconds)> OnPause;
+  /// Called when new entries of the configuration have been applied.
+  std::function<void()> OnConfiguration;
   std::mt19937_64 Random;
   /// Background work; its failures are logged.
   kj::TaskSet Tasks;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -78,8 +78,6 @@
       framework::addressSetting(Given, "route-address", true);
   Settings.ReadyAddress =
       framework::addressSetting(Given, "ready-address", true);
-  Settings.SettingsFile =
-      framework::textSetting(Given, framework::SettingsFileFlag);
   Settings.RpcAddress = framework::addressSetting(Given, "rpc-address", false);
   Settings.RpcListenAddress =
       framework::addressSetting(Given, "rpc-listen-address", true);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -63,12 +63,15 @@
   std::vector<std::string> Seeds;
   execution::home_settings Home;
   framework::milliseconds Grace{0};
-  /// The file that the settings were read from; empty for none.
-  std::string SettingsFile;
   admission_mode Admission = admission_mode::Coordinated;
   framework::log_level LogLevel = framework::log_level::Info;
 };
 
+/// Whether the node serves requests of routes.
+inline bool servesRoutes(const node_settings &Settings) {
+  return !Settings.RouteAddress.empty();
+}
+
 const std::vector<framework::setting_spec> &nodeSettingSpecs();
 
 /// Converts the settings; problems are added to the findings in \p Given.
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -83,10 +83,10 @@
         refuseWork(refusalOutcome(Request), refusal_reason::NoConfiguration);
   } else if (Request.Service != Node.Settings.Service) {
     Answer = refuseWork(refusalOutcome(Request), refusal_reason::HomeMoved);
-  } else if (Request.Idempotent || Request.Forwarded) {
-    Answer = co_await admitAndRun(Request);
-  } else {
+  } else if (hasHome(Request)) {
     Answer = co_await Home.execute(Request);
+  } else {
+    Answer = co_await admitAndRun(Request);
   }
   completeAnswer(Answer, Request);
   co_return kj::mv(Answer);
@@ -98,12 +98,15 @@
     countRefusal(Node.Metrics.RefusedHere, Answer.Reason);
   }
   Answer.Load = ownLoad(Node);
-  double Own =
-      admission::shareOf(Node.Shares, Request.Rank, Request.Organisation);
-  double Below =
+  Answer.Share = chainShare(Request, readClocks().Monotonic);
+}
+
+double upstream_service::chainShare(const work_request &Request,
+                                    monotonic_time Now) const {
+  return std::min(
+      admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
       admission::chainShareOf(Node.ChildShares, Request.Template,
-                              Request.Organisation, readClocks().Monotonic);
-  Answer.Share = std::min(Own, Below);
+                              Request.Organisation, Now));
 }
 
 // Admission.
@@ -127,8 +130,7 @@
     Answer = refuseWork(outcome::NotRun, Reason);
     Answer.RetryAfter = retryAfter();
     Answer.UnusedTries = Request.ExtraTries;
-    Answer.MayRetry =
-        (Request.Idempotent || Request.Forwarded) && mayGoElsewhere(Reason);
+    Answer.MayRetry = !hasHome(Request) && mayGoElsewhere(Reason);
   }
   bool Completed = Answer.Outcome == outcome::Completed;
   retry::finishRun(Node.Suspects, Fingerprint, Completed);
@@ -138,13 +140,9 @@
 void upstream_service::logRefused(const work_request &Request,
                                   refusal_reason Reason,
                                   monotonic_time Now) const {
-  double Share = std::min(
-      admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
-      admission::chainShareOf(Node.ChildShares, Request.Template,
-                              Request.Organisation, Now));
   logRefusal(Request, Reason,
-             {Share, Node.Limit.Limit, Node.Limit.InFlight, Node.Queue.Size,
-              serviceTime(Request.Template)},
+             {chainShare(Request, Now), Node.Limit.Limit, Node.Limit.InFlight,
+              Node.Queue.Size, serviceTime(Request.Template)},
              Now);
 }
 
@@ -188,12 +186,8 @@
   }
   framework::microseconds Expected = serviceTime(Request.Template);
   admission::recordArrival(Node.Shares, Request.Rank, Request.Organisation,
-                           Request.Weight,
-                           std::chrono::duration<double>(Expected).count());
-  double Share = std::min(
-      admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
-      admission::chainShareOf(Node.ChildShares, Request.Template,
-                              Request.Organisation, Now));
+                           Request.Weight, framework::inSeconds(Expected));
+  double Share = chainShare(Request, Now);
   bool Coordinated = Node.Settings.Admission == admission_mode::Coordinated;
   // What the chain has spent on an admitted request is not wasted.
   bool Invested = Request.Forwarded && Request.Depth > 0;
@@ -331,7 +325,7 @@
   KJ_DEFER(forgetContext(*Context));
 
   framework::microseconds Allowed = Request.Deadline - Start;
-  if (!Request.Idempotent && !Request.Forwarded) {
+  if (hasHome(Request)) {
     Allowed += RunGrace;
   }
   backend_answer Got;
@@ -360,8 +354,7 @@
   }
   Answer.UnusedTries = Context->Budget.ExtraTries;
   monotonic_time End = readClocks().Monotonic;
-  Node.Metrics.Timing.Backend->Observe(
-      std::chrono::duration<double>(End - Start).count());
+  Node.Metrics.Timing.Backend->Observe(framework::inSeconds(End - Start));
   if (Answer.Reason != refusal_reason::None) {
     logFailedRun(Context->Request, Answer, Start, End);
   }
@@ -483,8 +476,7 @@
   std::optional<framework::microseconds> &Shortest = ShortestWaits[Rank];
   Shortest = std::min(Shortest.value_or(Waited), Waited);
   LongestWait = std::max(LongestWait, Waited);
-  Node.Metrics.Timing.Queue->Observe(
-      std::chrono::duration<double>(Waited).count());
+  Node.Metrics.Timing.Queue->Observe(framework::inSeconds(Waited));
 }
 
 framework::microseconds upstream_service::standingDelay() const {
@@ -511,7 +503,7 @@
 
 void upstream_service::recordServiceTime(const std::string &Template,
                                          framework::microseconds Time) {
-  double Seconds = std::chrono::duration<double>(Time).count();
+  double Seconds = framework::inSeconds(Time);
   auto [Found, Fresh] = ServiceSeconds.try_emplace(Template, Seconds);
   if (!Fresh) {
     // NOTE Few requests end while times are long; faster ones must show soon.
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -79,6 +79,10 @@
                                       framework::monotonic_time Now) const;
   /// The own backend server leaves, and the other nodes had time to hear of it.
   bool isBackendLeaving(framework::monotonic_time Now) const;
+  /// Share of requests like \p Request that this service and those below it
+  /// admit.
+  double chainShare(const work_request &Request,
+                    framework::monotonic_time Now) const;
   void logRefused(const work_request &Request, framework::refusal_reason Reason,
                   framework::monotonic_time Now) const;
   void forgetContext(const call_context &Context);
--- a/src/node/worktypes.h
+++ b/src/node/worktypes.h
@@ -77,12 +77,18 @@
   std::uint8_t Tries = 0;
 };
 
+/// Whether one node alone, the home of its id, may run the request or say that
+/// it did not run. Requests of routes are new with each attempt and have none.
+inline bool hasHome(const work_request &Request) {
+  return !Request.Idempotent && !Request.Forwarded;
+}
+
 /// What a refusal of a request that was not started may claim. Only the home of
 /// a non-idempotent id may say that it did not run, since a copy may; requests
 /// of routes have no copies.
 inline framework::outcome refusalOutcome(const work_request &Request) {
-  bool Certain = Request.Idempotent || Request.Forwarded.has_value();
-  return Certain ? framework::outcome::NotRun : framework::outcome::Unknown;
+  return hasHome(Request) ? framework::outcome::Unknown
+                          : framework::outcome::NotRun;
 }
 
 /// An answer that claims no result of a backend server.
