--- a/src/node/tests/testfleet.cpp
+++ b/src/node/tests/testfleet.cpp
@@ -94,16 +94,4 @@
   return Starts;
 }
 
-bool eventually(const std::function<bool()> &Condition,
-                std::chrono::milliseconds Timeout) {
-  auto End = std::chrono::steady_clock::now() + Timeout;
-  while (!Condition()) {
-    if (std::chrono::steady_clock::now() > End) {
-      return false;
-    }
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-  return true;
-}
-
 } // namespace figplank::node::tests
--- a/src/node/tests/testfleet.h
+++ b/src/node/tests/testfleet.h
@@ -4,8 +4,8 @@
 
 #include "standins/fleet.h"
 #include "standins/loadgenerator.h"
+#include "standins/waiting.h"
 
-#include <functional>
 #include <string>
 
 namespace figplank::node::tests {
@@ -40,9 +40,6 @@
 /// Runs of \p Key that began, on all backend servers.
 std::size_t startsOf(const standins::fleet &Fleet, const std::string &Key);
 
-/// Polls until \p Condition holds; returns whether it did in time.
-bool eventually(
-    const std::function<bool()> &Condition,
-    std::chrono::milliseconds Timeout = std::chrono::milliseconds(10'000));
+using standins::eventually;
 
 } // namespace figplank::node::tests
