Faults that operators reported: repeats, silence, endless bytes, old views

Cause, test, and result of the test with the program before the change: - A request that is not idempotent ran a second time when the node that ran it was killed, if its route allows three attempts or more: the answer to a lost connection was marked as repeatable whatever the kind. (With two attempts the budget hid it: the first attempt takes the only extra one.) - Work of a node that was only paused was given up after half a second, and a paused node gave up its own calls on waking. Calls that must not be repeated now wait for a silent peer; a woken node pings its connections instead of dropping them. Bodies have a limit each and share a budget; short ones do not count.

Ruled out: a second copy of an answer that names its request is discarded by its id already; answers that break off are found by their framing.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.h"
 
 #include "client/caller.h"
+#include "configuration/jsonreader.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <httplib.h>
@@ -26,7 +27,7 @@
   if (!Result) {
     return leaf::new_error(cli_error{cli_errc::NodeUnreachable, Address});
   }
-  json Status = json::parse(Result->body, nullptr, false);
+  json Status = configuration::parseJson(Result->body);
   if (Result->status != 200 || !Status.is_object()) {
     return leaf::new_error(cli_error{cli_errc::BadAnswer, Address});
   }
@@ -106,7 +107,7 @@
   }
   std::ostringstream Text;
   Text << Stream.rdbuf();
-  json Document = json::parse(Text.str(), nullptr, false);
+  json Document = configuration::parseJson(Text.str());
   if (!Document.is_object()) {
     return leaf::new_error(cli_error{cli_errc::NotJson, File});
   }
--- a/src/configuration/jsonreader.cpp
+++ b/src/configuration/jsonreader.cpp
@@ -23,6 +23,18 @@
 
 } // namespace
 
+json parseJson(std::string_view Text) {
+  bool TooDeep = false;
+  json Value = json::parse(
+      Text,
+      [&TooDeep](int Depth, json::parse_event_t, json &) {
+        TooDeep |= Depth > MaxJsonDepth;
+        return !TooDeep;
+      },
+      false);
+  return TooDeep ? json(json::value_t::discarded) : Value;
+}
+
 void addFinding(json_reader &Reader, std::string_view Name,
                 std::string_view Problem) {
   std::string Value;
--- a/src/configuration/jsonreader.h
+++ b/src/configuration/jsonreader.h
@@ -15,6 +15,14 @@
 
 namespace figplank::configuration {
 
+/// Maximum nesting of arrays and objects in a parsed value. The functions that
+/// copy and print values are recursive.
+inline constexpr int MaxJsonDepth = 32;
+
+/// Parses \p Text. Returns a discarded value if it is not valid JSON or nested
+/// more deeply than MaxJsonDepth.
+nlohmann::json parseJson(std::string_view Text);
+
 /// A JSON value to be read as an object, its location, and the list that
 /// findings about it are added to.
 struct json_reader {
--- a/src/configuration/store.cpp
+++ b/src/configuration/store.cpp
@@ -75,6 +75,13 @@
   void operator()(const route_table &Value) const { Catalog.Routing = Value; }
 };
 
+/// Whether \p Entry, whose key is not stored, is an instance that the newest
+/// listing no longer had.
+bool wasRemovedBeforeListing(const store &Store, const published_entry &Entry) {
+  return Entry.Key.starts_with(InstancesPrefix) && !Entry.Value.empty() &&
+         Entry.Revision < Store.ListedAt;
+}
+
 template <typename Number>
 Number clampToBounds(const bounded_setting<Number> &Setting,
                      std::optional<Number> Requested) {
@@ -90,8 +97,17 @@
   return static_cast<std::size_t>(framework::hashText(Key) % DigestBucketCount);
 }
 
+void recordListing(store &Store, std::uint64_t Revision) {
+  Store.ListedAt = std::max(Store.ListedAt, Revision);
+}
+
 apply_result applyEntry(store &Store, const published_entry &Entry) {
   auto Stored = Store.Newest.find(Entry.Key);
+  if (Stored == Store.Newest.end() && wasRemovedBeforeListing(Store, Entry)) {
+    // NOTE The entry comes from a peer that has missed the removal. Storing the
+    // deletion passes it on to that peer.
+    return applyEntry(Store, {Entry.Key, Store.ListedAt, ""});
+  }
   if (Stored != Store.Newest.end() &&
       Stored->second.Revision >= Entry.Revision) {
     ++Store.NotNewerCount;
--- a/src/configuration/store.h
+++ b/src/configuration/store.h
@@ -60,6 +60,9 @@
   std::set<std::pair<std::uint64_t, std::string>> KeysByRevision;
   /// Digest of each bucket.
   digest_buckets Digests{};
+  /// Revision of the newest complete listing of the instances. An instance that
+  /// it lacked and whose entry is older has been removed.
+  std::uint64_t ListedAt = 0;
   /// Number of entries ignored because their revision was not higher than that
   /// of the stored entry.
   std::uint64_t NotNewerCount = 0;
@@ -68,9 +71,14 @@
 enum class apply_result : std::uint8_t { Accepted, Refused, NotNewer };
 
 /// Stores \p Entry if its revision is higher than that of the stored entry of
-/// its key. A valid value takes effect in the catalog.
+/// its key. A valid value takes effect in the catalog. An instance that was
+/// removed before the newest listing is stored as deleted.
 apply_result applyEntry(store &Store, const published_entry &Entry);
 
+/// Records that all instances of a complete listing at \p Revision have been
+/// applied.
+void recordListing(store &Store, std::uint64_t Revision);
+
 /// Prefix of the keys of instances.
 inline constexpr std::string_view InstancesPrefix = "instances/";
 
--- a/src/configuration/tests/store_tests.cpp
+++ b/src/configuration/tests/store_tests.cpp
@@ -127,3 +127,38 @@
   applyEntry(Store, {"parameters/o/t", 2, R"({"idempotent":true})"});
   CHECK_FALSE(resolveTemplate(Store.Catalog, "o", "t")->Idempotent);
 }
+
+TEST(Store, InstanceMissingFromAListingIsNotRestoredByAnOlderEntry) {
+  // A node that restarted after the removal has no deletion entry. A peer that
+  // was cut off meanwhile still sends the instance.
+  applyEntry(Store, instanceEntry(2, 8));
+  recordListing(Store, 10);
+  CHECK(applyEntry(Store, instanceEntry(1, 5)) == apply_result::Accepted);
+  POINTERS_EQUAL(nullptr, findInstance(Store.Catalog, "instances/s/n1"));
+  // The deletion is stored, so that exchanges carry it to the peer.
+  STRCMP_EQUAL("", Store.Newest["instances/s/n1"].Value.c_str());
+  LONGS_EQUAL(10, Store.Newest["instances/s/n1"].Revision);
+  CHECK(applyEntry(Store, instanceEntry(1, 11)) == apply_result::Accepted);
+  CHECK(findInstance(Store.Catalog, "instances/s/n1") != nullptr);
+  CHECK(findInstance(Store.Catalog, "instances/s/n2") != nullptr);
+}
+
+TEST(Store, DeletionAfterAListingIsPassedToAPeerWithAnOldView) {
+  struct store Peer;
+  applyEntry(Peer, instanceEntry(1, 5));
+  recordListing(Store, 10);
+  applyEntry(Store, instanceEntry(1, 5));
+  for (const published_entry &Entry :
+       entriesInDifferingBuckets(Store, Peer.Digests, 1'000'000)) {
+    applyEntry(Peer, Entry);
+  }
+  POINTERS_EQUAL(nullptr, findInstance(Peer.Catalog, "instances/s/n1"));
+  CHECK(summaryDigest(Store) == summaryDigest(Peer));
+}
+
+TEST(Store, OlderListingDoesNotLowerTheRevisionOfTheNewest) {
+  recordListing(Store, 10);
+  recordListing(Store, 7);
+  applyEntry(Store, instanceEntry(1, 9));
+  POINTERS_EQUAL(nullptr, findInstance(Store.Catalog, "instances/s/n1"));
+}
--- a/src/configuration/validation.cpp
+++ b/src/configuration/validation.cpp
@@ -390,7 +390,7 @@
     Result.Findings.push_back({Location, "", "the value is longer than 1 MiB"});
     return Result;
   }
-  json Document = json::parse(Value, nullptr, false);
+  json Document = parseJson(Value);
   if (Document.is_discarded()) {
     Result.Findings.push_back(
         {Location, std::string(Value.substr(0, 80)), "is not valid JSON"});
--- a/src/framework/settings.cpp
+++ b/src/framework/settings.cpp
@@ -71,6 +71,8 @@
                const std::vector<setting_spec> &Specs) {
   options::options_description Description = describe(Prefix, Specs);
   options::positional_options_description Positional;
+  constexpr int Unlimited = -1;
+  Positional.add("arguments", Unlimited);
   try {
     auto Parsed = options::command_line_parser(Arguments)
                       .options(Description)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -10,6 +10,9 @@
 /// Responses to other requests that are discarded before the exchange fails,
 /// since the connection then seems to be out of sync.
 constexpr unsigned MaxDiscarded = 4;
+/// Interim responses (RFC 9110, 15.2) to one request after which the exchange
+/// fails, since a faulty server may send them without end.
+constexpr unsigned MaxInterimResponses = 16;
 
 } // namespace
 
@@ -48,6 +51,7 @@
           .eagerlyEvaluate([](kj::Exception &&) {});
   std::string Bytes;
   unsigned Discarded = 0;
+  unsigned Interim = 0;
   bool IsOpen = true;
   while (IsOpen && !Result.FinalResponse && Discarded <= MaxDiscarded) {
     if (Bytes.empty()) {
@@ -69,6 +73,9 @@
     }
     response Response = Parser.takeResponse();
     if (Response.Status < FirstFinalStatus) {
+      if (++Interim > MaxInterimResponses) {
+        break;
+      }
       continue;
     }
     if (!IsExpected(Response)) {
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -32,8 +32,36 @@
   return true;
 }
 
+bool message_parser::countBodyBytes(std::size_t Length) {
+  std::size_t Size = Body.size() + Length;
+  if (Size > Limits.MaxBodyBytes) {
+    Failure = parse_state::BodyTooLarge;
+    return false;
+  }
+  body_budget *Budget = Limits.Budget;
+  if (Budget == nullptr || Size <= UncountedBodyBytes) {
+    return true;
+  }
+  std::size_t Added = Size - CountedBodyBytes;
+  if (Budget->UsedBytes + Added > Budget->MaxBytes) {
+    Failure = parse_state::BudgetExhausted;
+    return false;
+  }
+  Budget->UsedBytes += Added;
+  CountedBodyBytes = Size;
+  return true;
+}
+
+void message_parser::releaseBody() {
+  if (Limits.Budget != nullptr) {
+    Limits.Budget->UsedBytes -= CountedBodyBytes;
+  }
+  CountedBodyBytes = 0;
+}
+
 int message_parser::onMessageBegin(http_parser *Parser) {
   self(Parser).IsInMessage = true;
+  ++self(Parser).MessagesBegun;
   return 0;
 }
 
@@ -47,11 +75,14 @@
 int message_parser::onHeaderName(http_parser *Parser, const char *At,
                                  std::size_t Length) {
   message_parser &Self = self(Parser);
-  if (!Self.IsInHeaderName) {
-    Self.Headers.emplace_back();
+  // Trailers of a chunked body are dropped.
+  if (!Self.AreHeadersComplete) {
+    if (!Self.IsInHeaderName) {
+      Self.Headers.emplace_back();
+    }
+    Self.IsInHeaderName = true;
+    Self.Headers.back().Name.append(At, Length);
   }
-  Self.IsInHeaderName = true;
-  Self.Headers.back().Name.append(At, Length);
   return Self.countHeaderBytes(Length) ? 0 : StopParsing;
 }
 
@@ -59,8 +90,9 @@
                                   std::size_t Length) {
   message_parser &Self = self(Parser);
   Self.IsInHeaderName = false;
-  // Trailers of a chunked body arrive here too and are appended like headers.
-  Self.Headers.back().Value.append(At, Length);
+  if (!Self.AreHeadersComplete) {
+    Self.Headers.back().Value.append(At, Length);
+  }
   return Self.countHeaderBytes(Length) ? 0 : StopParsing;
 }
 
@@ -74,8 +106,7 @@
 int message_parser::onBody(http_parser *Parser, const char *At,
                            std::size_t Length) {
   message_parser &Self = self(Parser);
-  if (Self.Body.size() + Length > Self.Limits.MaxBodyBytes) {
-    Self.Failure = parse_state::BodyTooLarge;
+  if (!Self.countBodyBytes(Length)) {
     return StopParsing;
   }
   Self.Body.append(At, Length);
@@ -131,6 +162,7 @@
   Target.clear();
   Headers.clear();
   Body.clear();
+  releaseBody();
   HeaderBytes = 0;
   IsInHeaderName = false;
   AreHeadersComplete = false;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -12,9 +12,22 @@
 
 namespace figplank::http {
 
+/// Memory that the incomplete bodies of several connections share, so that
+/// senders of endless bodies cannot exhaust the process.
+struct body_budget {
+  std::size_t MaxBytes = std::size_t{64} << 20U;
+  std::size_t UsedBytes = 0;
+};
+
+/// Size up to which a body does not count against its budget, so that short
+/// messages still pass while long ones have used it up.
+inline constexpr std::size_t UncountedBodyBytes = std::size_t{64} << 10U;
+
 struct parser_limits {
   std::size_t MaxHeaderBytes = std::size_t{64} << 10U;
   std::size_t MaxBodyBytes = std::size_t{64} << 20U;
+  /// Must outlive the parser. Null for no common bound.
+  body_budget *Budget = nullptr;
 };
 
 enum class parse_state : std::uint8_t {
@@ -25,6 +38,8 @@
   Malformed,
   HeadersTooLarge,
   BodyTooLarge,
+  /// The bodies of all connections together exceed their budget.
+  BudgetExhausted,
 };
 
 /// Parses either requests or responses.
@@ -33,6 +48,7 @@
   enum class kind : std::uint8_t { Requests, Responses };
 
   message_parser(kind Kind, parser_limits Limits);
+  ~message_parser() { releaseBody(); }
   message_parser(const message_parser &) = delete;
   message_parser &operator=(const message_parser &) = delete;
 
@@ -47,6 +63,12 @@
   /// Returns whether a message has begun and is not complete yet.
   bool isInsideMessage() const { return IsInMessage; }
 
+  /// Returns whether a message has begun whose headers are not complete yet.
+  bool isInsideHeaders() const { return IsInMessage && !AreHeadersComplete; }
+
+  /// Number of messages that have begun so far.
+  std::uint64_t messagesBegun() const { return MessagesBegun; }
+
   /// Sets whether the next responses are to HEAD requests and have no body.
   void expectHeadResponse(bool IsHead) { IsHeadResponse = IsHead; }
 
@@ -73,6 +95,10 @@
 
   /// Returns false if the limit is exceeded.
   bool countHeaderBytes(std::size_t Length);
+  /// Counts \p Length more bytes of the body. Sets Failure and returns false if
+  /// a limit is exceeded.
+  bool countBodyBytes(std::size_t Length);
+  void releaseBody();
   parse_state stateAfterFeed(bool ConsumedAll);
   void reset();
 
@@ -82,6 +108,9 @@
   header_list Headers;
   std::string Body;
   std::size_t HeaderBytes = 0;
+  /// Bytes of Body that count against the budget.
+  std::size_t CountedBodyBytes = 0;
+  std::uint64_t MessagesBegun = 0;
   bool IsInHeaderName = false;
   bool IsInMessage = false;
   bool AreHeadersComplete = false;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -28,11 +28,14 @@
   constexpr std::uint16_t BadRequest = 400;
   constexpr std::uint16_t ContentTooLarge = 413;
   constexpr std::uint16_t HeadersTooLarge = 431;
+  constexpr std::uint16_t ServiceUnavailable = 503;
   switch (State) {
   case parse_state::BodyTooLarge:
     return ContentTooLarge;
   case parse_state::HeadersTooLarge:
     return HeadersTooLarge;
+  case parse_state::BudgetExhausted:
+    return ServiceUnavailable;
   default:
     return BadRequest;
   }
@@ -66,7 +69,8 @@
   /// Closes the connection if it is idle. A new connection is not idle, because
   /// its first request may still be in transit.
   void closeIfIdle() {
-    if (MayBeIdle && Pending.empty() && !Writing && !Parser.isInsideMessage()) {
+    if (MayBeIdle && Pending.empty() && !Writing && !Parser.isInsideMessage() &&
+        Unparsed.empty()) {
       IsClosing = true;
       wakeWriteLoop();
     }
@@ -84,9 +88,13 @@
   task<void> readLoop() {
     std::array<char, ReadBufferBytes> Buffer;
     while (!InputFinished) {
-      while (Pending.size() >= Server.Limits.MaxPipelined) {
+      while (pendingRequests() >= Server.Limits.MaxPipelined) {
         co_await Server.Timer.afterDelay(1 * kj::MILLISECONDS);
       }
+      if (!Unparsed.empty()) {
+        parseInput();
+        continue;
+      }
       bool TimedOut = false;
       std::size_t BytesRead = 0;
       kj::Promise<std::size_t> Reading =
@@ -101,7 +109,8 @@
       } else if (BytesRead == 0) {
         co_return;
       } else {
-        parseInput({Buffer.data(), BytesRead});
+        Unparsed.assign(Buffer.data(), BytesRead);
+        parseInput();
       }
     }
     co_await discardInput();
@@ -123,6 +132,9 @@
   }
 
   kj::Promise<std::size_t> withTimeout(kj::Promise<std::size_t> Reading) {
+    if (Parser.isInsideHeaders()) {
+      return Server.Timer.timeoutAt(HeaderDeadline, kj::mv(Reading));
+    }
     milliseconds Timeout = Parser.isInsideMessage()
                                ? Server.Limits.HeaderTimeout
                                : Server.Limits.IdleTimeout;
@@ -141,11 +153,18 @@
     }
   }
 
-  void parseInput(std::string_view Bytes) {
-    while (!Bytes.empty() && !InputFinished) {
+  /// Parses Unparsed and starts its requests, up to MaxPipelined.
+  void parseInput() {
+    while (!Unparsed.empty() && !InputFinished &&
+           pendingRequests() < Server.Limits.MaxPipelined) {
       std::size_t Consumed = 0;
-      parse_state State = Parser.feed(Bytes, Consumed);
-      Bytes.remove_prefix(std::min(Consumed, Bytes.size()));
+      std::uint64_t Begun = Parser.messagesBegun();
+      parse_state State = Parser.feed(Unparsed, Consumed);
+      Unparsed.erase(0, Consumed);
+      if (Parser.messagesBegun() != Begun) {
+        HeaderDeadline =
+            Server.Timer.now() + toDuration(Server.Limits.HeaderTimeout);
+      }
       if (State == parse_state::Incomplete) {
         sendContinue();
         return;
@@ -233,6 +252,10 @@
   server &Server;
   kj::AsyncIoStream &Stream;
   message_parser Parser;
+  /// Input that was read and not parsed yet.
+  std::string Unparsed;
+  /// When the headers of the current request must be complete.
+  kj::TimePoint HeaderDeadline = kj::origin<kj::TimePoint>();
   std::deque<pending_response> Pending;
   kj::Own<kj::PromiseFulfiller<void>> WriterWakeup;
   kj::Promise<void> WritingContinue = kj::READY_NOW;
@@ -245,7 +268,9 @@
 };
 
 server::server(kj::Timer &Timer, request_handler Handler)
-    : Timer(Timer), Handler(std::move(Handler)), Tasks(*this) {}
+    : Timer(Timer), Handler(std::move(Handler)), Tasks(*this) {
+  Limits.Parser.Budget = &RequestBodies;
+}
 
 kj::Promise<void> server::listen(kj::ConnectionReceiver &Port) {
   return acceptLoop(Port);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -22,7 +22,8 @@
 
 struct server_limits {
   parser_limits Parser;
-  /// Maximum time to wait for more bytes of a request that has begun.
+  /// Maximum time for the headers of a request from its first byte on, and to
+  /// wait for more bytes of its body.
   framework::milliseconds HeaderTimeout{10'000};
   /// Time after which a connection without requests is closed.
   framework::milliseconds IdleTimeout{60'000};
@@ -50,7 +51,10 @@
 
   /// Sets the limits. The parser limits apply to new connections, the others to
   /// open connections too.
-  void setLimits(const server_limits &NewLimits) { Limits = NewLimits; }
+  void setLimits(const server_limits &NewLimits) {
+    Limits = NewLimits;
+    Limits.Parser.Budget = &RequestBodies;
+  }
 
   /// Starts a graceful shutdown: closes idle connections, and ends each of the
   /// others with its next response, which has `Connection: close`.
@@ -70,6 +74,8 @@
   kj::Timer &Timer;
   request_handler Handler;
   server_limits Limits;
+  /// Incomplete bodies of all connections.
+  body_budget RequestBodies;
   bool Draining = false;
   std::vector<connection *> OpenConnections;
   kj::TaskSet Tasks;
--- a/src/http/tests/client_tests.cpp
+++ b/src/http/tests/client_tests.cpp
@@ -97,3 +97,14 @@
       .wait(Session->Io.waitScope);
   CHECK_FALSE(Connection.isUsable());
 }
+
+TEST(Client, InterimResponsesWithoutEndFailTheExchange) {
+  std::string Text;
+  for (int I = 0; I < 100; ++I) {
+    Text += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  exchange_result Result =
+      exchange("a", Text + responseText("a", "own"), false);
+  CHECK_FALSE(Result.FinalResponse.has_value());
+  CHECK_FALSE(Connection.isUsable());
+}
--- a/src/http/tests/parser_tests.cpp
+++ b/src/http/tests/parser_tests.cpp
@@ -97,3 +97,56 @@
   message_parser Parser(Responses, {});
   CHECK(feedAll(Parser, "garbage\r\n\r\n") == parse_state::Malformed);
 }
+
+TEST(Parser, TrailersAreNotTakenForHeaders) {
+  message_parser Parser(Responses, {});
+  CHECK(feedAll(Parser, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "1\r\na\r\n0\r\nNot-Executed: 1\r\n\r\n") ==
+        parse_state::Complete);
+  response Response = Parser.takeResponse();
+  POINTERS_EQUAL(nullptr, findHeader(Response.Headers, "Not-Executed"));
+  STRCMP_EQUAL("a", Response.Body.c_str());
+}
+
+TEST(Parser, LargeBodiesShareABudget) {
+  body_budget Budget{std::size_t{1} << 20U};
+  parser_limits Limits;
+  Limits.Budget = &Budget;
+  message_parser Endless(Responses, Limits);
+  const std::string Chunk = "400\r\n" + std::string(0x400, 'x') + "\r\n";
+  parse_state State =
+      feedAll(Endless, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int I = 0; I < 2'000 && State == parse_state::Incomplete; ++I) {
+    State = feedAll(Endless, Chunk);
+  }
+  CHECK(State == parse_state::BudgetExhausted);
+  CHECK(Budget.UsedBytes <= Budget.MaxBytes);
+  {
+    message_parser Short(Responses, Limits);
+    CHECK(feedAll(Short, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody") ==
+          parse_state::Complete);
+    message_parser Large(Responses, Limits);
+    CHECK(feedAll(Large, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                             std::string(200'000, 'x')) ==
+          parse_state::BudgetExhausted);
+  }
+}
+
+TEST(Parser, BudgetIsReleasedWithTheBody) {
+  body_budget Budget{std::size_t{1} << 20U};
+  parser_limits Limits;
+  Limits.Budget = &Budget;
+  {
+    message_parser Parser(Responses, Limits);
+    CHECK(feedAll(Parser, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                              std::string(200'000, 'x')) ==
+          parse_state::Complete);
+    CHECK(Budget.UsedBytes >= 200'000);
+    (void)Parser.takeResponse();
+    LONGS_EQUAL(0, Budget.UsedBytes);
+    feedAll(Parser, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                        std::string(100'000, 'x'));
+    CHECK(Budget.UsedBytes >= 100'000);
+  }
+  LONGS_EQUAL(0, Budget.UsedBytes);
+}
--- a/src/http/tests/server_tests.cpp
+++ b/src/http/tests/server_tests.cpp
@@ -144,3 +144,32 @@
   }
   CHECK(received().starts_with("HTTP/1.1 408 "));
 }
+
+TEST(Server, HeadersThatTrickleInTimeOutAsAWhole) {
+  server_limits Limits;
+  Limits.HeaderTimeout = framework::milliseconds(20);
+  Server.setLimits(Limits);
+  send("GET /slow HTTP/1.1\r\nX: ");
+  std::string Text;
+  for (int I = 0; I < 40 && Text.empty(); ++I) {
+    send("x");
+    runEventLoop();
+    Text = received();
+  }
+  CHECK(Text.starts_with("HTTP/1.1 408 "));
+}
+
+TEST(Server, OneReadStartsAtMostTheRequestsThatMayBePending) {
+  server_limits Limits;
+  Limits.MaxPipelined = 2;
+  Server.setLimits(Limits);
+  send(getRequestText("/1") + getRequestText("/2") + getRequestText("/3"));
+  runEventLoop();
+  LONGS_EQUAL(2, Handler.Started.size());
+  Handler.respond("/1", "first");
+  for (int I = 0; I < 5; ++I) {
+    runEventLoop();
+    (void)received();
+  }
+  LONGS_EQUAL(3, Handler.Started.size());
+}
--- a/src/node/admin.cpp
+++ b/src/node/admin.cpp
@@ -125,7 +125,8 @@
   Status["refusals"] = formatRefusals(Node);
   Status["upstreams"] = formatUpstreams(Node);
   Status["instances"] = formatInstances(Node);
-  return Status.dump() + "\n";
+  // Findings quote values as received, which need not be valid text.
+  return Status.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
 admin_server::admin_server(const node_runtime &Node, mailbox &Mailbox,
--- a/src/node/callerhttp.cpp
+++ b/src/node/callerhttp.cpp
@@ -77,7 +77,8 @@
   if (!Id.empty()) {
     Body["id"] = Id;
   }
-  return Body.dump() + "\n";
+  return Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+         "\n";
 }
 
 } // namespace
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -267,8 +267,10 @@
   if (Now >= Request.Deadline) {
     return false;
   }
-  bool Granted = retry::takeExtraTry(Budget) &&
-                 retry::takeRetryToken(retryTokensOf(Request.Service));
+  // The extra try is left to the calls further up if there is no token for it.
+  bool Granted = Budget.ExtraTries > 0 &&
+                 retry::takeRetryToken(retryTokensOf(Request.Service)) &&
+                 retry::takeExtraTry(Budget);
   if (Granted) {
     countRetry(Node.Metrics, Reason);
   }
@@ -297,9 +299,15 @@
       kj::Promise<work_answer> Timed = Node.Timer.timeoutAfter(
           toDuration(Deadline - readClocks().Monotonic), kj::mv(Running));
       Result.Answer = co_await kj::mv(Timed);
-    } catch (const kj::Exception &) {
-      Result.Answer =
-          makeRefusal(outcome::Unknown, refusal_reason::DeadlinePassed);
+    } catch (const kj::Exception &Exception) {
+      bool TimedOut = Exception.getType() == kj::Exception::Type::OVERLOADED;
+      if (!TimedOut) {
+        framework::logEvent(framework::log_level::Error, "local_run_failed",
+                            {{"error", Exception.getDescription().cStr()}});
+      }
+      Result.Answer = makeRefusal(outcome::Unknown,
+                                  TimedOut ? refusal_reason::DeadlinePassed
+                                           : refusal_reason::ConnectionLost);
     }
     Result.Answered = true;
     Result.MayHaveRun = Result.Answer.Outcome != outcome::NotRun && Idempotent;
@@ -327,8 +335,10 @@
     std::uint64_t Attempt = NextAttempt++;
     writeRequest(Message.initRequest(), Request, Attempt,
                  readClocks().Monotonic);
-    auto Called = co_await Peers.call(kj::mv(*Connection), kj::mv(Message),
-                                      Request.Deadline);
+    bool IsRepeatable = Request.Idempotent || hasHome(Request);
+    auto Called = co_await Peers.call(
+        kj::mv(*Connection), kj::mv(Message), Request.Deadline,
+        IsRepeatable ? silence_policy::Fail : silence_policy::Wait);
     Failure = Called.Error.Failure;
     KJ_IF_MAYBE (Response, Called.Value) {
       auto Answer = readAnswer(Response->getAnswer(), Attempt);
@@ -382,7 +392,11 @@
   // all may have been used.
   Result.Answer.UnusedTries =
       Failure == call_failure::NotSent ? Request.ExtraTries : 0;
-  Result.Answer.MayRetry = Failure != call_failure::TimedOut;
+  // Another upstream must not run a request that may have run here unless it is
+  // idempotent. The home of an id detects copies.
+  bool IsRepeatable =
+      Request.Idempotent || hasHome(Request) || !Result.MayHaveRun;
+  Result.Answer.MayRetry = Failure != call_failure::TimedOut && IsRepeatable;
   co_return kj::mv(Result);
 }
 
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -100,8 +100,10 @@
     (Accepted ? Node.Metrics.Dissemination.EntriesAccepted
               : Node.Metrics.Dissemination.EntriesRefused)
         ->Increment();
-    logApplied(Entry, Result, Node.Store);
-    NewEntries.push_back(Entry);
+    // Not always the entry as received: see configuration::recordListing.
+    const published_entry &Stored = Node.Store.Newest.find(Entry.Key)->second;
+    logApplied(Stored, Result, Node.Store);
+    NewEntries.push_back(Stored);
   }
   bool InstancesChanged = std::any_of(
       NewEntries.begin(), NewEntries.end(), [](const published_entry &Entry) {
@@ -418,6 +420,7 @@
   }
   std::vector<published_entry> NewEntries = apply(Update.Entries);
   std::vector<published_entry> Removed = apply(findRemovedInstances(Update));
+  configuration::recordListing(Node.Store, Update.ListedAt);
   NewEntries.insert(NewEntries.end(), Removed.begin(), Removed.end());
   if (!NewEntries.empty()) {
     LastUpdate = readClocks().Monotonic;
@@ -498,7 +501,6 @@
   Node.Condition.ViewStale = true;
   execution::refuseIdsIssuedUntil(Node.Home, Now.Wall);
   routing::clearViews(Node.Upstreams);
-  Peers.abortAll();
   LastUpdate = Now.Monotonic;
 }
 
--- a/src/node/forwardpool.cpp
+++ b/src/node/forwardpool.cpp
@@ -22,6 +22,9 @@
 /// leaves the outcome of that request unknown.
 constexpr milliseconds NonIdempotentMaxIdleTime{1'000};
 
+/// Maximum size of a response.
+constexpr std::size_t MaxResponseBytes = std::size_t{16} << 20U;
+
 /// Idle time up to which a connection may be reused, from the
 /// `timeout=SECONDS` of the Keep-Alive header.
 milliseconds maxIdleTime(const http::header_list &Headers) {
@@ -59,8 +62,10 @@
   kj::Own<kj::AsyncIoStream> Stream = co_await Node.Timer.timeoutAfter(
       toDuration(ConnectTimeout), kj::mv(Connecting));
   ++ConnectionsOpened;
-  co_return kj::heap<http::client_connection>(kj::mv(Stream),
-                                              http::parser_limits());
+  http::parser_limits Limits;
+  Limits.MaxBodyBytes = MaxResponseBytes;
+  Limits.Budget = &ResponseBodies;
+  co_return kj::heap<http::client_connection>(kj::mv(Stream), Limits);
 }
 
 void forward_pool::release(kj::Own<http::client_connection> Connection,
@@ -100,7 +105,10 @@
   }
   const http::header_list Headers = Exchanged.FinalResponse->Headers;
   Answer = Dialect.ReadBackendAnswer(kj::mv(*Exchanged.FinalResponse));
-  if (Connection->isUsable()) {
+  // NOTE A refusal need not name its request, so a late second copy of it could
+  // be taken for the answer to the next request.
+  bool IsIdentified = Answer.Result == backend_result::Answered;
+  if (Connection->isUsable() && IsIdentified) {
     release(kj::mv(Connection), Headers);
   }
   co_return kj::mv(Answer);
--- a/src/node/mailbox.h
+++ b/src/node/mailbox.h
@@ -2,6 +2,9 @@
 /// Queue by which other threads run functions on the event loop.
 #pragma once
 
+#include "framework/logging.h"
+
+#include <exception>
 #include <functional>
 #include <mutex>
 #include <vector>
@@ -16,7 +19,8 @@
     Pending.push_back(std::move(Function));
   }
 
-  /// Runs the queued functions. Called on the event loop's thread.
+  /// Runs the queued functions. Called on the event loop's thread. An exception
+  /// of one function is logged and does not keep the others from running.
   void drain() {
     std::vector<std::function<void()>> Functions;
     {
@@ -24,7 +28,12 @@
       Functions.swap(Pending);
     }
     for (const std::function<void()> &Function : Functions) {
-      Function();
+      try {
+        Function();
+      } catch (const std::exception &Exception) {
+        framework::logEvent(framework::log_level::Error, "posted_task_failed",
+                            {{"error", Exception.what()}});
+      }
     }
   }
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -110,12 +110,6 @@
   Connection.AbortFulfiller->fulfill();
 }
 
-void peer_pool::abortAll() {
-  for (auto &[Address, Connection] : Connections) {
-    abort(*Connection);
-  }
-}
-
 task<void> peer_pool::ping(kj::Own<peer_connection> Connection) {
   bool Answered = false;
   try {
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -2,10 +2,11 @@
 /// Connections to other nodes, one per address, opened on demand.
 ///
 /// A connection that has outstanding calls but has received no answer for a
-/// while is pinged. If the ping fails, the connection is aborted and its calls
-/// fail with ConnectionLost. This says nothing about the node: the next call
-/// opens a new connection. Idle connections are not pinged; they are closed
-/// after IdleTimeout.
+/// while is pinged. If the ping fails, the connection is aborted: it takes no
+/// further calls, and its calls fail with ConnectionLost unless they wait for
+/// the answer to work that must not be repeated. This says nothing about the
+/// node: the next call opens a new connection. Idle connections are not pinged;
+/// they are closed after IdleTimeout.
 #pragma once
 
 #include "node/runtime.h"
@@ -75,6 +76,15 @@
   call_error Error;
 };
 
+/// What happens to a call whose connection is aborted because it is silent. The
+/// peer may only be slow or paused and answer later.
+enum class silence_policy : std::uint8_t {
+  /// The call fails, so that it can be repeated elsewhere.
+  Fail,
+  /// The call waits until its deadline or until the peer disconnects.
+  Wait,
+};
+
 using connection_result = call_result<kj::Own<peer_connection>>;
 
 class peer_pool {
@@ -91,10 +101,8 @@
   task<call_result<capnp::Response<Results>>>
   call(kj::Own<peer_connection> Connection,
        capnp::Request<Params, Results> Request,
-       framework::monotonic_time Deadline);
-
-  /// Aborts all connections. Called after a pause of the process.
-  void abortAll();
+       framework::monotonic_time Deadline,
+       silence_policy OnSilence = silence_policy::Fail);
 
 private:
   /// The open connection to \p Address, or null.
@@ -138,7 +146,7 @@
 task<call_result<capnp::Response<Results>>>
 peer_pool::call(kj::Own<peer_connection> Connection,
                 capnp::Request<Params, Results> Request,
-                framework::monotonic_time Deadline) {
+                framework::monotonic_time Deadline, silence_policy OnSilence) {
   using response = capnp::Response<Results>;
   outstanding_call_guard Guard(*Connection);
   framework::monotonic_time Now = framework::readClocks().Monotonic;
@@ -148,16 +156,17 @@
   Connection->LastUsed = Now;
   call_result<response> Result;
   try {
-    kj::Promise<response> Sent = Request.send();
-    kj::Promise<response> Abort =
-        KJ_ASSERT_NONNULL(Connection->AbortPromise)
-            .addBranch()
-            .then([]() -> kj::Promise<response> {
-              return KJ_EXCEPTION(DISCONNECTED, "connection aborted");
-            });
-    kj::Promise<response> AnswerOrAbort = Sent.exclusiveJoin(kj::mv(Abort));
-    kj::Promise<response> Timed = Node.Timer.timeoutAfter(
-        toDuration(Deadline - Now), kj::mv(AnswerOrAbort));
+    kj::Promise<response> Answer = Request.send();
+    if (OnSilence == silence_policy::Fail) {
+      Answer = Answer.exclusiveJoin(
+          KJ_ASSERT_NONNULL(Connection->AbortPromise)
+              .addBranch()
+              .then([]() -> kj::Promise<response> {
+                return KJ_EXCEPTION(DISCONNECTED, "connection aborted");
+              }));
+    }
+    kj::Promise<response> Timed =
+        Node.Timer.timeoutAfter(toDuration(Deadline - Now), kj::mv(Answer));
     Result.Value = co_await kj::mv(Timed);
     Connection->LastHeard = framework::readClocks().Monotonic;
     Connection->EverAnswered = true;
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -1,5 +1,8 @@
 #include "node/platformreader.h"
 
+#include "configuration/jsonreader.h"
+#include "framework/logging.h"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -39,7 +42,7 @@
 } // namespace
 
 std::optional<watch_answer> parseWatchAnswer(const std::string &Body) {
-  json Document = json::parse(Body, nullptr, false);
+  json Document = configuration::parseJson(Body);
   bool Valid = Document.is_object() && Document.contains("revision") &&
                Document["revision"].is_number_unsigned() &&
                Document.contains("entries") && Document["entries"].is_array();
@@ -134,7 +137,13 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     After = Cursor;
   }
-  platform_update Update = Source.Read(After);
+  platform_update Update;
+  try {
+    Update = Source.Read(After);
+  } catch (const std::exception &Exception) {
+    framework::logEvent(framework::log_level::Error, "platform_read_failed",
+                        {{"after", After}, {"error", Exception.what()}});
+  }
   std::lock_guard<std::mutex> Lock(Mutex);
   // The cursor follows the platform's revision even when that has decreased.
   // The store rejects entries that are older than its own.
--- a/src/node/rounds.cpp
+++ b/src/node/rounds.cpp
@@ -1,5 +1,7 @@
 #include "node/rounds.h"
 
+#include "configuration/jsonreader.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -30,7 +32,7 @@
 } // namespace
 
 bool readRound(const std::string &Text, std::vector<std::string> &Bodies) {
-  json Document = json::parse(Text, nullptr, false);
+  json Document = configuration::parseJson(Text);
   bool Valid = Document.is_object() && Document.contains("requests") &&
                Document["requests"].is_array() &&
                !Document["requests"].empty() &&
