Share by completed chains; shares of many entries; accepts that fail; stops

Also: the RPC port ended the node when an accept failed (no descriptor left); an exception in a tick did; a read of the platform that was still connecting when the process stopped held it back for up to 3 s (platform reader test). The candidates of a service are listed once for each change of the catalog and no longer for each attempt, with a comparison of all pairs.

Run: admission, routing, configuration, framework, node and platform tests, passed.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -163,7 +163,7 @@
   constexpr int Choices = 1'000;
   clock::time_point Start = clock::now();
   for (int I = 0; I < Choices; ++I) {
-    auto Candidates = routing::listCandidates(Store.Catalog, Table, "one", Now);
+    auto Candidates = routing::listCandidates(Store.Catalog, "one");
     (void)routing::chooseUpstream(Table, Candidates, "z9", {}, {0.3, 0.7}, Now);
   }
   return {static_cast<double>(Upstreams), secondsSince(Start) * 1e6 / Choices};
--- a/src/configuration/store.cpp
+++ b/src/configuration/store.cpp
@@ -122,6 +122,7 @@
   Store.KeysByRevision.emplace(Entry.Revision, Entry.Key);
   if (Entry.Value.empty()) {
     removeValue(Store.Catalog, Entry.Key);
+    ++Store.Catalog.Version;
     Store.Refused.erase(Entry.Key);
     Store.AcceptedRevisions[Entry.Key] = Entry.Revision;
     return apply_result::Accepted;
@@ -132,6 +133,7 @@
     return apply_result::Refused;
   }
   std::visit(value_inserter{Store.Catalog}, Checked.Value);
+  ++Store.Catalog.Version;
   Store.Refused.erase(Entry.Key);
   Store.AcceptedRevisions[Entry.Key] = Entry.Revision;
   return apply_result::Accepted;
--- a/src/configuration/store.h
+++ b/src/configuration/store.h
@@ -40,6 +40,8 @@
   /// By service, then instance.
   text_map<text_map<instance>> Instances;
   route_table Routing;
+  /// Increases with each change.
+  std::uint64_t Version = 0;
 };
 
 /// A revision that failed validation, with the findings.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -281,22 +281,9 @@
 }
 
 task<void> server::acceptLoop(kj::ConnectionReceiver &Port) {
-  // accept() fails while no file descriptor is available; the wait before the
-  // next attempt keeps this loop from spinning.
-  constexpr kj::Duration AcceptRetryDelay = 50 * kj::MILLISECONDS;
   while (true) {
-    bool Failed = false;
-    try {
-      kj::Own<kj::AsyncIoStream> Stream = co_await Port.accept();
-      Tasks.add(serve(kj::mv(Stream)));
-    } catch (const kj::Exception &Exception) {
-      framework::logEvent(framework::log_level::Warning, "accept_failed",
-                          {{"error", Exception.getDescription().cStr()}});
-      Failed = true;
-    }
-    if (Failed) {
-      co_await Timer.afterDelay(AcceptRetryDelay);
-    }
+    kj::Own<kj::AsyncIoStream> Stream = co_await Port.accept();
+    Tasks.add(serve(kj::mv(Stream)));
   }
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -43,7 +43,7 @@
   server(kj::Timer &Timer, request_handler Handler);
   KJ_DISALLOW_COPY(server);
 
-  /// Serves the connections that \p Port accepts.
+  /// Serves the connections that \p Port accepts, until an accept fails.
   kj::Promise<void> listen(kj::ConnectionReceiver &Port);
 
   /// Serves one connection until it is closed.
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -1,6 +1,7 @@
 #include "node/daemon.h"
 
 #include "framework/kjlog.h"
+#include "framework/listener.h"
 #include "node/admin.h"
 #include "node/callerhttp.h"
 #include "node/gateway.h"
@@ -144,7 +145,11 @@
 task<void> tickLoop(node_parts &Parts) {
   while (true) {
     co_await Parts.Node.Timer.afterDelay(toDuration(TickInterval));
-    tick(Parts);
+    try {
+      tick(Parts);
+    } catch (const std::exception &Exception) {
+      logEvent(log_level::Error, "tick_failed", {{"error", Exception.what()}});
+    }
   }
 }
 
@@ -152,7 +157,7 @@
                                                std::string Address) {
   kj::Own<kj::NetworkAddress> Parsed =
       co_await Node.Network.parseAddress(Address.c_str());
-  co_return Parsed->listen();
+  co_return framework::retryFailedAccepts(Parsed->listen(), Node.Timer);
 }
 
 /// Opens the configured ports and serves them until one fails.
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -62,6 +62,7 @@
   node_runtime &Node;
   peer_pool &Peers;
   upstream_service &LocalUpstream;
+  routing::candidate_lists CandidateLists;
   std::uint64_t NextAttempt = 1;
   retry::backoff_settings Backoff;
 };
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -109,7 +109,17 @@
     Stopping = true;
   }
   StateChanged.notify_all();
-  Source.Interrupt();
+  // One interruption may come before the read has begun to wait.
+  constexpr std::chrono::milliseconds InterruptInterval{10};
+  std::unique_lock<std::mutex> Lock(Mutex);
+  while (!Finished) {
+    Lock.unlock();
+    Source.Interrupt();
+    Lock.lock();
+    StateChanged.wait_for(Lock, InterruptInterval,
+                          [this]() { return Finished; });
+  }
+  Lock.unlock();
   Thread.join();
 }
 
@@ -166,6 +176,11 @@
     std::unique_lock<std::mutex> Lock(Mutex);
     StateChanged.wait_for(Lock, Delay, [this]() { return Stopping; });
   }
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Finished = true;
+  }
+  StateChanged.notify_all();
 }
 
 } // namespace figplank::node
--- a/src/node/platformreader.h
+++ b/src/node/platformreader.h
@@ -36,7 +36,8 @@
 struct platform_source {
   /// Waits for entries newer than revision \p After and returns them.
   std::function<platform_update(std::uint64_t After)> Read;
-  /// Cancels a Read in progress when the process exits.
+  /// Cancels a Read in progress when the process exits. Called repeatedly until
+  /// Read has returned.
   std::function<void()> Interrupt;
   /// Whether reads are linearizable: none returns older entries than an earlier
   /// read by any node. A starting node then needs an answer from either the
@@ -85,6 +86,8 @@
   std::condition_variable StateChanged;
   bool Active = false;
   bool Stopping = false;
+  /// Set when the thread reads no more.
+  bool Finished = false;
   /// Revision after which the next read begins.
   std::uint64_t Cursor = 0;
   std::thread Thread;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -50,6 +50,11 @@
   }
 }
 
+/// The requests of a template whose calls are served alike: those of one rank.
+std::string requestKind(const work_request &Request) {
+  return Request.Template + "/" + std::to_string(Request.Rank);
+}
+
 } // namespace
 
 admission_permit::~admission_permit() {
@@ -104,10 +109,12 @@
 
 double upstream_service::chainShare(const work_request &Request,
                                     monotonic_time Now) const {
+  std::string Kind = requestKind(Request);
   return std::min(
-      admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
-      admission::chainShareOf(Node.MinChildShares, Request.Template,
-                              Request.Organisation, Now));
+      {admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
+       admission::chainShareOf(Node.MinChildShares, Kind, Request.Organisation,
+                               Now),
+       admission::feedbackShareOf(Node.ChildFeedback, Kind, Now)});
 }
 
 // Admission.
@@ -227,8 +234,8 @@
   monotonic_time Now = readClocks().Monotonic;
   auto Dropped = admission::enqueue(
       Node.Queue,
-      {Permit.Ticket, Request.Rank, Request.Organisation, Request.Depth, Now,
-       Request.Deadline, serviceTime(Request.Template)});
+      {Permit.Ticket, Request.Rank, Request.Organisation, Request.Depth,
+       Request.Draw, Now, Request.Deadline, serviceTime(Request.Template)});
   if (Dropped) {
     drop(*Dropped);
   }
@@ -347,9 +354,7 @@
   } catch (const kj::Exception &) {
     HasTimedOut = true;
   }
-  admission::recordChainShare(Node.MinChildShares, Request.Template,
-                              Request.Organisation, Context->MinChildShare,
-                              readClocks().Monotonic);
+  recordChildren(Request, *Context, readClocks().Monotonic);
   work_answer Answer;
   if (HasTimedOut) {
     Permit.Result = admission::run_result::TimedOut;
@@ -395,6 +400,19 @@
   return Backend.send(std::move(Sent));
 }
 
+void upstream_service::recordChildren(const work_request &Request,
+                                      const call_context &Context,
+                                      monotonic_time Now) {
+  std::string Kind = requestKind(Request);
+  // A run without calls tells nothing of the services further down.
+  if (Context.MadeCalls) {
+    admission::recordChainShare(Node.MinChildShares, Kind, Request.Organisation,
+                                Context.MinChildShare, Now);
+  }
+  admission::recordRun(Node.ChildFeedback, Kind, 1.0 / Request.SamplingWeight,
+                       Context.ChildTurnedAway, Now);
+}
+
 void upstream_service::removeContext(const call_context &Context) {
   // A copy of the request may be running under the same token.
   auto Found = Contexts.find(Context.Token);
--- a/src/routing/tests/upstreams_tests.cpp
+++ b/src/routing/tests/upstreams_tests.cpp
@@ -101,10 +101,32 @@
   Service.Name = "s";
   Service.Roster = {{"a", "z1", "a"}, {"b", "z2", "b"}};
   Catalog.Services["s"] = Service;
-  LONGS_EQUAL(2, listCandidates(Catalog, Table, "s", at(0)).size());
+  Candidates = listCandidates(Catalog, "s");
+  LONGS_EQUAL(2, Candidates.size());
+  STRCMP_EQUAL("a", choose({0.0, 0.0}, 0).c_str());
   recordDrain(Table, "a", at(0));
-  LONGS_EQUAL(1, listCandidates(Catalog, Table, "s", at(1)).size());
-  LONGS_EQUAL(2, listCandidates(Catalog, Table, "s", at(3'100)).size());
+  for (double Draw : {0.0, 0.3, 0.6, 0.99}) {
+    STRCMP_EQUAL("b", choose({Draw, 0.0}, 1).c_str());
+  }
+  STRCMP_EQUAL("a", choose({0.0, 0.0}, 3'100).c_str());
+}
+
+TEST(Upstreams, AllUpstreamsDrainingLeavesNone) {
+  for (const char *Address : {"a", "b", "c", "d"}) {
+    recordDrain(Table, Address, at(100));
+  }
+  STRCMP_EQUAL("none", choose({0.0, 0.0}).c_str());
+}
+
+TEST(Upstreams, CandidateListFollowsTheCatalog) {
+  configuration::store Store;
+  candidate_lists Lists;
+  const char *Value = R"({"zone":"z","address":"10.0.0.1:1","state":"live"})";
+  applyEntry(Store, {"instances/s/one", 1, Value});
+  LONGS_EQUAL(1, candidatesOf(Lists, Store.Catalog, "s").size());
+  LONGS_EQUAL(0, candidatesOf(Lists, Store.Catalog, "other").size());
+  applyEntry(Store, {"instances/s/one", 2, ""});
+  LONGS_EQUAL(0, candidatesOf(Lists, Store.Catalog, "s").size());
 }
 
 TEST(Upstreams, ClearedViewsAvoidNoUpstream) {
@@ -141,7 +163,7 @@
   New.Name = "new";
   New.StartedMs = 2;
   Catalog.Instances["s"] = {{"old", Old}, {"new", New}};
-  auto Listed = listCandidates(Catalog, Table, "s", at(0));
+  auto Listed = listCandidates(Catalog, "s");
   LONGS_EQUAL(1, Listed.size());
   STRCMP_EQUAL("new", Listed[0].Name.c_str());
 }
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -58,23 +58,24 @@
   return LatencyRatio * (1.0 + DelayPerLoad * ExcessLoad);
 }
 
-bool isAvoided(const upstream_table &Table, const candidate &Candidate,
-               monotonic_time Now) {
-  const upstream_view *View = findView(Table, Candidate.Address);
-  return View != nullptr && Now < View->AvoidUntil;
-}
-
 using candidate_list = std::vector<const candidate *>;
 
-/// The candidates that are not avoided, or all if too many are.
+/// The candidates that are neither draining nor avoided. If too many are
+/// avoided, all that are not draining.
 candidate_list listHealthy(const upstream_table &Table,
                            const std::vector<candidate> &Candidates,
                            monotonic_time Now) {
   candidate_list All;
   candidate_list Healthy;
+  All.reserve(Candidates.size());
+  Healthy.reserve(Candidates.size());
   for (const candidate &Candidate : Candidates) {
+    const upstream_view *View = findView(Table, Candidate.Address);
+    if (View != nullptr && Now < View->DrainingUntil) {
+      continue;
+    }
     All.push_back(&Candidate);
-    if (!isAvoided(Table, Candidate, Now)) {
+    if (View == nullptr || Now >= View->AvoidUntil) {
       Healthy.push_back(&Candidate);
     }
   }
@@ -128,9 +129,7 @@
 } // namespace
 
 std::vector<candidate> listCandidates(const configuration::catalog &Catalog,
-                                      const upstream_table &Table,
-                                      std::string_view Service,
-                                      monotonic_time Now) {
+                                      std::string_view Service) {
   std::vector<candidate> Candidates;
   auto Listed = Catalog.Instances.find(Service);
   auto Settings = Catalog.Services.find(Service);
@@ -149,13 +148,26 @@
       Candidates.push_back({Member.Name, Member.Zone, Member.Address});
     }
   }
-  std::erase_if(Candidates, [&](const candidate &Candidate) {
-    const upstream_view *View = findView(Table, Candidate.Address);
-    return View != nullptr && Now < View->DrainingUntil;
-  });
   return Candidates;
 }
 
+const std::vector<candidate> &
+candidatesOf(candidate_lists &Lists, const configuration::catalog &Catalog,
+             std::string_view Service) {
+  if (Lists.CatalogVersion != Catalog.Version) {
+    Lists.ByService.clear();
+    Lists.CatalogVersion = Catalog.Version;
+  }
+  auto Found = Lists.ByService.find(Service);
+  if (Found == Lists.ByService.end()) {
+    Found =
+        Lists.ByService
+            .try_emplace(std::string(Service), listCandidates(Catalog, Service))
+            .first;
+  }
+  return Found->second;
+}
+
 const candidate *chooseUpstream(const upstream_table &Table,
                                 const std::vector<candidate> &Candidates,
                                 std::string_view Zone,
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -94,12 +94,22 @@
   std::string Address;
 };
 
-/// The upstreams of \p Service that have not announced a drain: its live
-/// instances, or the members of its roster if no instance is listed as live.
+/// The upstreams of \p Service: its live instances, or the members of its
+/// roster if no instance is listed as live.
 std::vector<candidate> listCandidates(const configuration::catalog &Catalog,
-                                      const upstream_table &Table,
-                                      std::string_view Service,
-                                      framework::monotonic_time Now);
+                                      std::string_view Service);
+
+/// Lists of candidates, made anew when the catalog changes.
+struct candidate_lists {
+  std::uint64_t CatalogVersion = 0;
+  configuration::text_map<std::vector<candidate>> ByService;
+};
+
+/// Returns listCandidates() of \p Service from \p Lists. The reference is valid
+/// until the next call.
+const std::vector<candidate> &
+candidatesOf(candidate_lists &Lists, const configuration::catalog &Catalog,
+             std::string_view Service);
 
 /// Two random numbers in [0, 1), which select the candidates to compare.
 struct choice_draws {
@@ -108,7 +118,8 @@
 };
 
 /// Chooses one of \p Candidates for a node in \p Zone. Candidates with an
-/// address in \p Tried are excluded. Returns null if none remains.
+/// address in \p Tried and those that announced a drain are excluded. Returns
+/// null if none remains.
 const candidate *chooseUpstream(const upstream_table &Table,
                                 const std::vector<candidate> &Candidates,
                                 std::string_view Zone,
