--- a/src/admission/chainfeedback.cpp
+++ b/src/admission/chainfeedback.cpp
@@ -24,13 +24,12 @@
   double Entered = Row.EntrySum / Row.Runs;
   if (Fraction > Settings.Tolerance) {
     Row.Share = std::max(MinAdmissionProbability, Entered * (1.0 - Fraction));
-    Row.Ceiling = Row.Share;
+    Row.Lowered = Now;
     return;
   }
-  double Ratio = std::max(Row.Share / Row.Ceiling, Row.Ceiling / Row.Share);
-  double GrowthPerSecond = Ratio < Settings.NearCeilingRatio
-                               ? Settings.GrowthPerSecondNearCeiling
-                               : Settings.GrowthPerSecond;
+  bool Held = Now - Row.Lowered < Settings.HoldTime;
+  double GrowthPerSecond =
+      Held ? Settings.InitialGrowthPerSecond : Settings.GrowthPerSecond;
   double Seconds = std::chrono::duration<double>(Now - Row.WindowStart).count();
   Row.Share = std::min(1.0, Row.Share * std::pow(GrowthPerSecond, Seconds));
 }
--- a/src/admission/chainfeedback.h
+++ b/src/admission/chainfeedback.h
@@ -24,18 +24,17 @@
 struct chain_feedback_settings {
   /// Runs after which a window ends, and the time that it lasts at least and at
   /// most.
-  double MinRuns = 20.0;
+  double MinRuns = 16.0;
   framework::milliseconds MinWindow{100};
   framework::milliseconds MaxWindow{1'000};
   /// Fraction of turned away runs that does not lower the share.
   double Tolerance = 0.03;
-  /// Factor on the share per second while runs are not turned away, and the
-  /// slower one near the share at which the last ones were. The share
-  /// then stays there, and grows fast again once it has passed it.
-  double GrowthPerSecond = 2.5;
-  double GrowthPerSecondNearCeiling = 1.2;
-  /// Ratio to that share, either way, that counts as near.
-  double NearCeilingRatio = 1.2;
+  /// Factor on the share per second while runs are not turned away: at first
+  /// the lower one, as the chain can probably carry little more, and after
+  /// HoldTime without a turned away run the higher one.
+  double InitialGrowthPerSecond = 1.22;
+  double GrowthPerSecond = 4.0;
+  framework::milliseconds HoldTime{2'200};
   /// Time without runs after which a row is removed.
   framework::milliseconds RowLifetime{5'000};
   std::size_t MaxRows = 20'000;
@@ -44,9 +43,8 @@
 /// Runs of one kind.
 struct chain_feedback_row {
   double Share = 1.0;
-  /// Probability with which the runs entered of which the last ones were turned
-  /// away.
-  double Ceiling = 1.0;
+  /// When the share was lowered last.
+  framework::monotonic_time Lowered;
   /// Runs of the current window, those turned away, and the sum of the
   /// probabilities with which they entered.
   double Runs = 0.0;
