--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -42,7 +42,7 @@
 
 /// Removes the element at \p Position and returns it.
 queued_work take(std::deque<queued_work> &Waiting,
-                 std::deque<queued_work>::iterator Position) {
+                 const std::deque<queued_work>::iterator &Position) {
   queued_work Work = std::move(*Position);
   Waiting.erase(Position);
   return Work;
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -1,6 +1,7 @@
 #include "node/dissemination.h"
 
 #include "framework/hashing.h"
+#include "node/servicesettings.h"
 #include "node/wire.h"
 
 #include <algorithm>
@@ -17,14 +18,6 @@
 using framework::monotonic_time;
 using framework::readClocks;
 
-/// Minimum queue bound, regardless of the number of slots.
-constexpr std::size_t MinQueueBound = 16;
-/// Fraction of the capacity that each rank keeps on nodes that serve routes, as
-/// routes do not define minimum shares.
-constexpr double RouteMinimumShare = 0.05;
-/// Fraction of a backend server's slots that is used, because servers slow down
-/// when nearly full and a new connection may briefly occupy a slot.
-constexpr double UsableSlotFraction = 0.94;
 /// Interval at which a node decides whether it is a reader.
 constexpr milliseconds ReaderChoiceInterval{500};
 
@@ -113,7 +106,7 @@
     updateNodeLists();
   }
   if (!NewEntries.empty()) {
-    applyServiceSettings();
+    applyServiceSettings(Node);
     Node.OnConfigurationChange();
     Node.Metrics.Revision->Set(
         static_cast<double>(configuration::highestRevision(Node.Store)));
@@ -126,71 +119,6 @@
   AllNodes = membership::listNodes(Node.Store.Catalog, "");
 }
 
-/// Finds the newest instance at this node's backend address and applies its
-/// slots and state.
-void disseminator::applyBackendInstance() {
-  auto Listed = Node.Store.Catalog.Instances.find(Node.Settings.Service);
-  const configuration::instance *Newest = nullptr;
-  if (Listed != Node.Store.Catalog.Instances.end()) {
-    for (const auto &[Name, Instance] : Listed->second) {
-      bool IsLocal = Instance.BackendAddress == Node.Settings.BackendAddress;
-      if (IsLocal &&
-          (Newest == nullptr || Instance.StartedMs > Newest->StartedMs)) {
-        Newest = &Instance;
-      }
-    }
-  }
-  bool Leaving = Newest == nullptr
-                     ? !Node.BackendInstance.empty()
-                     : Newest->State == configuration::instance_state::Leaving;
-  if (!Leaving) {
-    Node.BackendLeavingSince.reset();
-  } else if (!Node.BackendLeavingSince) {
-    Node.BackendLeavingSince = readClocks().Monotonic;
-    logEvent(log_level::Info, "backend_leaving",
-             {{"instance", Node.BackendInstance}});
-  }
-  if (Newest == nullptr) {
-    return;
-  }
-  if (Newest->Name != Node.BackendInstance) {
-    Node.BackendInstance = Newest->Name;
-    logEvent(log_level::Info, "backend_instance",
-             {{"instance", Newest->Name}, {"slots", Newest->Slots}});
-  }
-  Node.MinimumShares.fill(RouteMinimumShare);
-  if (Newest->Slots > 0) {
-    admission::setSlots(Node.Limit, UsableSlotFraction * Newest->Slots);
-    Node.Queue.Settings.MaxQueued =
-        std::max(MinQueueBound, std::size_t{2} * Newest->Slots);
-  }
-}
-
-void disseminator::applyServiceSettings() {
-  if (servesRoutes(Node.Settings)) {
-    applyBackendInstance();
-  }
-  auto Service = Node.Store.Catalog.Services.find(Node.Settings.Service);
-  if (Service == Node.Store.Catalog.Services.end()) {
-    return;
-  }
-  Node.MinimumShares =
-      configuration::minimumShares(Node.Store.Catalog, Node.Settings.Service);
-  admission::setSlots(Node.Limit, Service->second.Slots);
-  Node.Queue.Settings.MaxQueued =
-      std::max(MinQueueBound, std::size_t{2} * Service->second.Slots);
-  bool Changed = Node.Home.Roster != Service->second.Roster ||
-                 Node.Home.PreviousRosters != Service->second.PreviousRosters;
-  if (Changed) {
-    execution::updateRoster(Node.Home, Service->second, readClocks().Wall);
-    logEvent(
-        log_level::Info, "roster_applied",
-        {{"members", static_cast<std::uint64_t>(Service->second.Roster.size())},
-         {"previous",
-          static_cast<std::uint64_t>(Service->second.PreviousRosters.size())}});
-  }
-}
-
 void disseminator::receivePush(const std::vector<published_entry> &Entries,
                                std::uint8_t Hops) {
   std::vector<published_entry> NewEntries = apply(Entries);
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -121,8 +121,6 @@
   /// Applies \p Entries and returns those that were newer than the stored ones.
   std::vector<configuration::published_entry>
   apply(const std::vector<configuration::published_entry> &Entries);
-  void applyServiceSettings();
-  void applyBackendInstance();
   /// Deletions of the instances that a complete listing in \p Update lacks.
   std::vector<configuration::published_entry>
   findRemovedInstances(const platform_update &Update) const;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -20,9 +20,6 @@
 constexpr milliseconds RunGracePeriod{10'000};
 /// Interval at which a waiting request checks whether a suspect has ended.
 constexpr milliseconds SuspectPollInterval{20};
-constexpr double ServiceTimeSmoothing = 0.1;
-constexpr double DecreaseSmoothing = 0.3;
-constexpr double InitialServiceSeconds = 0.005;
 constexpr milliseconds MinRetryAfter{100};
 constexpr unsigned MinServerErrorStatus = 500;
 /// Time for which a leaving backend server still receives requests, since some
@@ -151,7 +148,8 @@
                                   monotonic_time Now) const {
   logRefusal(Request, Reason,
              {chainShare(Request, Now), Node.Limit.Limit, Node.Limit.InFlight,
-              Node.Queue.Size, serviceTime(Request.Template)},
+              Node.Queue.Size,
+              admission::serviceTimeOf(ServiceTimes, Request.Template)},
              Now);
 }
 
@@ -194,7 +192,8 @@
   if (Node.Settings.Admission == admission_mode::None) {
     return refusal_reason::None;
   }
-  framework::microseconds Expected = serviceTime(Request.Template);
+  framework::microseconds Expected =
+      admission::serviceTimeOf(ServiceTimes, Request.Template);
   admission::recordArrival(Node.Shares, Request.Rank, Request.Organisation,
                            Request.SamplingWeight,
                            framework::inSeconds(Expected));
@@ -233,9 +232,9 @@
   Permits[Permit.Ticket] = &Permit;
   monotonic_time Now = readClocks().Monotonic;
   auto Dropped = admission::enqueue(
-      Node.Queue,
-      {Permit.Ticket, Request.Rank, Request.Organisation, Request.Depth,
-       Request.Draw, Now, Request.Deadline, serviceTime(Request.Template)});
+      Node.Queue, {Permit.Ticket, Request.Rank, Request.Organisation,
+                   Request.Depth, Request.Draw, Now, Request.Deadline,
+                   admission::serviceTimeOf(ServiceTimes, Request.Template)});
   if (Dropped) {
     drop(*Dropped);
   }
@@ -261,7 +260,8 @@
   // NOTE The refusal must reach the entry before the deadline. Otherwise the
   // entry has to report an unknown outcome.
   framework::microseconds Left =
-      Request.Deadline - Now - serviceTime(Request.Template) - RefusalMargin;
+      Request.Deadline - Now -
+      admission::serviceTimeOf(ServiceTimes, Request.Template) - RefusalMargin;
   bool LimitedByObjective =
       Request.Depth == 0 && Request.LatencyObjective.count() > 0;
   auto ObjectiveWait = std::chrono::duration_cast<framework::microseconds>(
@@ -362,7 +362,8 @@
   } else {
     bool Ran = Received.Result == backend_result::Answered;
     if (Ran) {
-      recordServiceTime(Request.Template, readClocks().Monotonic - Start);
+      admission::recordServiceTime(ServiceTimes, Request.Template,
+                                   readClocks().Monotonic - Start);
     }
     Answer = co_await evaluateBackendAnswer(Permit, std::move(Received),
                                             Context->ChildFailed,
@@ -522,28 +523,6 @@
   return Node.Limit.InFlight + Node.Queue.Size;
 }
 
-framework::microseconds
-upstream_service::serviceTime(const std::string &Template) const {
-  auto Found = ServiceSeconds.find(Template);
-  double Seconds =
-      Found == ServiceSeconds.end() ? InitialServiceSeconds : Found->second;
-  return std::chrono::duration_cast<framework::microseconds>(
-      std::chrono::duration<double>(Seconds));
-}
-
-void upstream_service::recordServiceTime(const std::string &Template,
-                                         framework::microseconds Time) {
-  double Seconds = framework::inSeconds(Time);
-  auto [Found, Inserted] = ServiceSeconds.try_emplace(Template, Seconds);
-  if (!Inserted) {
-    // NOTE Few requests complete while service times are long, so a decrease is
-    // smoothed less, to take effect after a few requests.
-    double Weight =
-        Seconds < Found->second ? DecreaseSmoothing : ServiceTimeSmoothing;
-    Found->second += Weight * (Seconds - Found->second);
-  }
-}
-
 milliseconds upstream_service::retryAfter() {
   // The jitter of up to the base time keeps refused callers from retrying at
   // the same moment.
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -3,6 +3,7 @@
 /// backend server.
 #pragma once
 
+#include "admission/servicetimes.h"
 #include "node/backend.h"
 #include "node/contexts.h"
 #include "node/crashmonitor.h"
@@ -95,13 +96,10 @@
   void drop(const admission::dropped_work &Dropped);
   void grantFreeSlots();
   void finaliseAnswer(work_answer &Answer, const work_request &Request);
-  framework::microseconds serviceTime(const std::string &Template) const;
   void recordWait(std::uint8_t Rank, framework::microseconds Waited);
   /// Delay of the standing queue: the highest of the ranks' minimum waits in
   /// this window.
   framework::microseconds standingDelay() const;
-  void recordServiceTime(const std::string &Template,
-                         framework::microseconds Time);
   framework::milliseconds retryAfter();
 
   node_runtime &Node;
@@ -109,8 +107,7 @@
   crash_monitor Crashes;
   std::uint64_t NextTicket = 1;
   std::unordered_map<std::uint64_t, admission_permit *> Permits;
-  /// Smoothed service time at the backend server in seconds, by template.
-  std::map<std::string, double> ServiceSeconds;
+  admission::service_times ServiceTimes;
   /// Minimum wait of each rank, and maximum wait over all ranks, of the
   /// requests that left the queue in this window.
   std::array<std::optional<framework::microseconds>, configuration::RankCount>
