--- a/src/admission/chainshares.h
+++ b/src/admission/chainshares.h
@@ -3,10 +3,6 @@
 /// organisation, as reported in their answers. Callers apply them to refuse a
 /// request early, at best at the entry node before any service has worked on
 /// it.
-///
-/// Load pattern: a hot service at the end of many chains, entered by many nodes
-/// each of which sees few answers. A share is therefore smoothed over time and
-/// not over answers, and it is not forgotten between two sparse answers.
 #pragma once
 
 #include "configuration/store.h"
@@ -20,23 +16,13 @@
 struct chain_share {
   double Share = 1.0;
   framework::monotonic_time Updated;
-  /// Smoothed time between answers, in seconds.
-  double IntervalSeconds = 0.0;
 };
 
 struct chain_share_settings {
-  /// Weight of a new answer in the exponentially smoothed share, if the answer
-  /// before it came within SmoothingTime.
-  double MinSmoothing = 0.2;
-  /// Time after which the answers before count as outdated: an answer after
-  /// this time has the weight 1 - 1/e, one after a longer time more.
-  framework::milliseconds SmoothingTime{500};
-  /// Time without an answer after which the share grows back towards 1, and the
-  /// same as a multiple of the usual time between answers. The longer applies.
+  /// Weight of a new answer in the exponentially smoothed share.
+  double Smoothing = 0.2;
+  /// Time without an answer after which the share grows back towards 1.
   framework::milliseconds StaleAfter{500};
-  double StaleAfterIntervals = 3.0;
-  /// Time without an answer after which the share grows back in any case.
-  framework::milliseconds MaxStaleAfter{3'000};
   /// Factor by which a stale share grows per second.
   double GrowthPerSecond = 4.0;
   /// Pairs of template and organisation kept; further ones are not recorded.
--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -7,9 +7,6 @@
 namespace {
 
 constexpr double MinLimit = 1.0;
-/// Requests over which the failure rate is smoothed. A window of a lightly
-/// loaded server has only a few.
-constexpr double FailureRateSamples = 10.0;
 /// Fraction of the limit that must have been in use for the limit to grow.
 constexpr double MinUtilisation = 0.8;
 
@@ -126,8 +123,7 @@
                            std::max(MinLimit, Limit.Settings.Slots));
   double Ended = Limit.Completed + Limit.Failed + Limit.TimedOut;
   if (Ended > 0.0) {
-    double Weight = std::min(1.0, Ended / FailureRateSamples);
-    Limit.FailureRate += Weight * (Limit.Failed / Ended - Limit.FailureRate);
+    Limit.FailureRate = Limit.Failed / Ended;
   }
   beginWindow(Limit, Now);
   return true;
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -65,8 +65,8 @@
   /// Whether the limit was already decreased for a shed request in this window.
   bool ShedInWindow = false;
   framework::monotonic_time WindowEnd;
-  /// Smoothed fraction of the requests that failed, of those that completed,
-  /// failed or timed out.
+  /// Fraction of the requests that failed in the last window in which any
+  /// request completed, failed or timed out.
   double FailureRate = 0.0;
 };
 
--- a/src/admission/tests/workqueue_tests.cpp
+++ b/src/admission/tests/workqueue_tests.cpp
@@ -20,15 +20,8 @@
 
 queued_work makeWork(std::uint64_t Ticket, std::uint8_t Rank,
                      const std::string &Organisation, std::uint8_t Depth = 0) {
-  queued_work Work;
-  Work.Ticket = Ticket;
-  Work.Rank = Rank;
-  Work.Organisation = Organisation;
-  Work.Depth = Depth;
-  Work.Enqueued = at(0);
-  Work.Deadline = at(1'000);
-  Work.ServiceTime = microseconds(1'000);
-  return Work;
+  return {Ticket, Rank,      Organisation,       Depth,
+          at(0),  at(1'000), microseconds(1'000)};
 }
 
 } // namespace
@@ -126,28 +119,3 @@
   CHECK_FALSE(removeTicket(Queue, 1));
   LONGS_EQUAL(0, next());
 }
-
-TEST(WorkQueue, OverloadedQueueServesNestedCallsByDraw) {
-  std::uint64_t Ticket = 0;
-  for (double Draw : {0.9, 0.2, 0.7, 0.1}) {
-    queued_work Work = makeWork(++Ticket, 1, "", 1);
-    Work.Draw = Draw;
-    enqueue(Queue, Work);
-  }
-  LONGS_EQUAL(1, next(at(5)));
-  LONGS_EQUAL(4, next(at(100)));
-  LONGS_EQUAL(2, next(at(100)));
-  LONGS_EQUAL(3, next(at(100)));
-}
-
-TEST(WorkQueue, FullQueueDropsTheNestedCallWithTheHighestDraw) {
-  Queue.Settings.MaxQueued = 2;
-  std::uint64_t Ticket = 0;
-  std::optional<dropped_work> Dropped;
-  for (double Draw : {0.3, 0.8, 0.5}) {
-    queued_work Work = makeWork(++Ticket, 1, "", 1);
-    Work.Draw = Draw;
-    Dropped = enqueue(Queue, Work);
-  }
-  LONGS_EQUAL(2, Dropped->Ticket);
-}
--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -36,38 +36,24 @@
   return Longest;
 }
 
-bool hasLowerDraw(const queued_work &Left, const queued_work &Right) {
-  return Left.Draw < Right.Draw;
-}
-
-/// Removes the element at \p Position and returns it.
-queued_work take(std::deque<queued_work> &Waiting,
-                 const std::deque<queued_work>::iterator &Position) {
-  queued_work Work = std::move(*Position);
-  Waiting.erase(Position);
-  return Work;
-}
-
 void eraseEmptyQueues(organisation_queue_list &Queues) {
   std::erase_if(Queues, [](const organisation_queue &OrganisationQueue) {
     return OrganisationQueue.Waiting.empty();
   });
 }
 
-std::uint64_t dropFromLeastUrgentRank(work_queue &Queue) {
+std::uint64_t dropNewestOfLeastUrgentRank(work_queue &Queue) {
   for (std::size_t Rank = RankCount; Rank-- > 0;) {
     rank_queue &RankQueue = Queue.Ranks[Rank];
     if (RankQueue.Size == 0) {
       continue;
     }
-    bool OnlyNested = RankQueue.RootRequests.empty();
-    organisation_queue_list &Queues =
-        OnlyNested ? RankQueue.NestedCalls : RankQueue.RootRequests;
-    std::deque<queued_work> &Waiting = longestQueue(Queues)->Waiting;
-    auto Dropped = OnlyNested ? std::max_element(Waiting.begin(), Waiting.end(),
-                                                 hasLowerDraw)
-                              : std::prev(Waiting.end());
-    std::uint64_t Ticket = take(Waiting, Dropped).Ticket;
+    organisation_queue_list &Queues = RankQueue.RootRequests.empty()
+                                          ? RankQueue.NestedCalls
+                                          : RankQueue.RootRequests;
+    organisation_queue *OrganisationQueue = longestQueue(Queues);
+    std::uint64_t Ticket = OrganisationQueue->Waiting.back().Ticket;
+    OrganisationQueue->Waiting.pop_back();
     eraseEmptyQueues(Queues);
     --RankQueue.Size;
     --Queue.Size;
@@ -119,21 +105,20 @@
 queued_work popFromRank(work_queue &Queue, std::size_t Rank,
                         monotonic_time Now) {
   rank_queue &RankQueue = Queue.Ranks[Rank];
-  bool HasNested = !RankQueue.NestedCalls.empty();
-  organisation_queue_list &Queues =
-      HasNested ? RankQueue.NestedCalls : RankQueue.RootRequests;
+  organisation_queue_list &Queues = RankQueue.NestedCalls.empty()
+                                        ? RankQueue.RootRequests
+                                        : RankQueue.NestedCalls;
   organisation_queue OrganisationQueue = std::move(Queues.front());
   Queues.pop_front();
-  std::deque<queued_work> &Waiting = OrganisationQueue.Waiting;
-  bool IsOverloaded =
-      Now - Waiting.front().Enqueued > Queue.Settings.TargetDelay;
-  auto Next = Waiting.begin();
-  if (IsOverloaded) {
-    Next = HasNested
-               ? std::min_element(Waiting.begin(), Waiting.end(), hasLowerDraw)
-               : std::prev(Waiting.end());
+  bool NewestFirst = Now - OrganisationQueue.Waiting.front().Enqueued >
+                     Queue.Settings.TargetDelay;
+  queued_work Work = NewestFirst ? std::move(OrganisationQueue.Waiting.back())
+                                 : std::move(OrganisationQueue.Waiting.front());
+  if (NewestFirst) {
+    OrganisationQueue.Waiting.pop_back();
+  } else {
+    OrganisationQueue.Waiting.pop_front();
   }
-  queued_work Work = take(Waiting, Next);
   if (!OrganisationQueue.Waiting.empty()) {
     Queues.push_back(std::move(OrganisationQueue));
   }
@@ -169,7 +154,7 @@
   if (Queue.Size <= Queue.Settings.MaxQueued) {
     return std::nullopt;
   }
-  return dropped_work{dropFromLeastUrgentRank(Queue),
+  return dropped_work{dropNewestOfLeastUrgentRank(Queue),
                       refusal_reason::QueueFull};
 }
 
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -7,14 +7,9 @@
 /// - Nested calls before root requests, since other services of the call chain
 ///   have already worked on them.
 /// - Round robin among the organisations.
-/// - First in, first out, until the oldest request of the organisation has
-///   waited longer than the target. Then root requests newest first, since
-///   under overload the callers of the oldest ones are the most likely to have
-///   given up, and nested calls by the draw of their root requests.
-///
-/// Load pattern: a chain that calls a hot service several times. If each of its
-/// calls were refused independently, hardly any chain would be completed. By
-/// the order of the draws, the same chains get all of their calls.
+/// - First in, first out, or newest first once the oldest request of the
+///   organisation has waited longer than the target, since under overload the
+///   callers of the oldest requests are the most likely to have given up.
 #pragma once
 
 #include "configuration/configurationtypes.h"
@@ -39,9 +34,6 @@
   std::string Organisation;
   /// 0 for a root request, greater for the nested calls made to serve it.
   std::uint8_t Depth = 0;
-  /// Random number in [0, 1), drawn once for the root request. Lower numbers
-  /// are preferred.
-  double Draw = 0.0;
   framework::monotonic_time Enqueued;
   framework::monotonic_time Deadline;
   /// Expected service time at the backend server.
@@ -85,10 +77,9 @@
 };
 
 /// Adds \p Work. If the queue then exceeds MaxQueued, drops a request of the
-/// least urgent rank and returns it, root requests before nested calls: of the
-/// organisation with the most waiting requests the newest root request, or the
-/// nested call with the highest draw. The dropped request may be \p Work
-/// itself.
+/// least urgent rank and returns it: the newest one of the organisation with
+/// the most waiting requests, root requests before nested calls. The dropped
+/// request may be \p Work itself.
 std::optional<dropped_work> enqueue(work_queue &Queue, queued_work Work);
 
 /// Result of dequeue.
--- a/src/node/contexts.h
+++ b/src/node/contexts.h
@@ -25,9 +25,6 @@
   /// A child call was refused or lost. A failure of this request is then
   /// attributed to the child call and not retried at this level.
   bool ChildFailed = false;
-  /// A child call failed and was refused for lack of room.
-  bool ChildTurnedAway = false;
-  bool MadeCalls = false;
   /// Number of child calls so far, by template, to number unnamed calls.
   std::map<std::string, unsigned> CallCounts;
 };
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -31,13 +31,6 @@
   }
 }
 
-/// Whether \p Reason says that the upstream has more work than it can do.
-bool isLackOfRoom(refusal_reason Reason) {
-  return Reason == refusal_reason::Overload ||
-         Reason == refusal_reason::QueueFull ||
-         Reason == refusal_reason::DeadlineUnreachable;
-}
-
 /// Maximum number of upstreams that a request of a route is sent to without
 /// using its retry budget, as long as it reaches no backend server.
 constexpr std::size_t MaxUpstreamsTried = 4;
@@ -109,10 +102,7 @@
   std::uint8_t Unused = std::min(Answer.UnusedTries, ChildBudget.ExtraTries);
   retry::returnUnusedTries(Parent->Budget, {Unused});
   Parent->MinChildShare = std::min(Parent->MinChildShare, Answer.ChainShare);
-  Parent->MadeCalls = true;
-  bool Failed = Answer.Outcome != outcome::Completed;
-  Parent->ChildFailed |= Failed;
-  Parent->ChildTurnedAway |= Failed && Answer.LackedRoom;
+  Parent->ChildFailed |= Answer.Outcome != outcome::Completed;
   co_return kj::mv(Answer);
 }
 
@@ -148,8 +138,6 @@
   retry::retry_budget Budget{Request.ExtraTries};
   std::vector<std::string> TriedAddresses;
   bool MayHaveRun = false;
-  bool LackedRoom = false;
-  double MinShare = 1.0;
   work_answer Answer = makeRefusal(outcome::NotRun, refusal_reason::NoUpstream);
   for (unsigned Retry = 1;; ++Retry) {
     monotonic_time Now = readClocks().Monotonic;
@@ -178,8 +166,6 @@
     retry::returnUnusedTries(Budget, {LastAttempt.Answer.UnusedTries});
     MayHaveRun |= LastAttempt.MayHaveRun;
     Answer = kj::mv(LastAttempt.Answer);
-    LackedRoom |= isLackOfRoom(Answer.Reason);
-    MinShare = std::min(MinShare, Answer.ChainShare);
     bool IsFreeRetry = Request.Forwarded && !reachedBackend(Answer) &&
                        TriedAddresses.size() < MaxUpstreamsTried;
     bool Granted =
@@ -205,10 +191,6 @@
   }
   Answer.UnusedTries = Budget.ExtraTries;
   Answer.MayRetry = false;
-  Answer.LackedRoom = LackedRoom;
-  // A refusal by the first upstream says more about the room that is left than
-  // the answer of another one that took the request.
-  Answer.ChainShare = MinShare;
   Answer.SendAttempts = static_cast<std::uint8_t>(
       std::min<std::size_t>(TriedAddresses.size(), UINT8_MAX));
   if (!TriedAddresses.empty()) {
--- a/src/node/forwardpool.cpp
+++ b/src/node/forwardpool.cpp
@@ -50,9 +50,10 @@
   while (!IdleConnections.empty()) {
     idle_connection Newest = kj::mv(IdleConnections.back());
     IdleConnections.pop_back();
-    bool Recent =
-        Idempotent || Now - Newest.IdleSince < NonIdempotentMaxIdleTime;
-    if (Newest.Connection->isUsable() && Now < Newest.UsableUntil && Recent) {
+    bool Reliable = Now - Newest.IdleSince < NonIdempotentMaxIdleTime &&
+                    !Newest.CarriedRefusal;
+    if (Newest.Connection->isUsable() && Now < Newest.UsableUntil &&
+        (Idempotent || Reliable)) {
       co_return kj::mv(Newest.Connection);
     }
   }
@@ -69,11 +70,12 @@
 }
 
 void forward_pool::release(kj::Own<http::client_connection> Connection,
-                           const http::header_list &Headers) {
+                           const http::header_list &Headers,
+                           bool CarriedRefusal) {
   monotonic_time Now = readClocks().Monotonic;
   Connection->watchIdle();
   IdleConnections.push_back(
-      {kj::mv(Connection), Now, Now + maxIdleTime(Headers)});
+      {kj::mv(Connection), Now, Now + maxIdleTime(Headers), CarriedRefusal});
   while (!IdleConnections.empty() &&
          Now >= IdleConnections.front().UsableUntil) {
     IdleConnections.pop_front();
@@ -105,11 +107,9 @@
   }
   const http::header_list Headers = Exchanged.FinalResponse->Headers;
   Answer = Dialect.ReadBackendAnswer(kj::mv(*Exchanged.FinalResponse));
-  // NOTE A refusal need not name its request, so a late second copy of it could
-  // be taken for the answer to the next request.
-  bool IsIdentified = Answer.Result == backend_result::Answered;
-  if (Connection->isUsable() && IsIdentified) {
-    release(kj::mv(Connection), Headers);
+  if (Connection->isUsable()) {
+    release(kj::mv(Connection), Headers,
+            Answer.Result != backend_result::Answered);
   }
   co_return kj::mv(Answer);
 }
--- a/src/node/forwardpool.h
+++ b/src/node/forwardpool.h
@@ -32,11 +32,14 @@
     kj::Own<http::client_connection> Connection;
     framework::monotonic_time IdleSince;
     framework::monotonic_time UsableUntil;
+    /// The last answer was a refusal. It need not name its request, so a late
+    /// second copy of it could be taken for the answer to the next request.
+    bool CarriedRefusal = false;
   };
 
   task<kj::Own<http::client_connection>> acquire(bool Idempotent);
   void release(kj::Own<http::client_connection> Connection,
-               const http::header_list &Headers);
+               const http::header_list &Headers, bool CarriedRefusal);
 
   node_runtime &Node;
   const wire_dialect &Dialect;
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -3,7 +3,6 @@
 /// on. All of it is accessed only from the event loop's thread.
 #pragma once
 
-#include "admission/chainfeedback.h"
 #include "admission/chainshares.h"
 #include "admission/concurrencylimit.h"
 #include "admission/sharecontroller.h"
@@ -60,12 +59,9 @@
   admission::share_controller Shares;
   /// Shares that answers to this node's calls reported, by called template.
   admission::chain_shares ChainShares;
-  /// For each kind of request that this node's backend server runs, the minimum
-  /// of the shares reported for the calls that it makes.
+  /// For each template that this node's backend server runs, the minimum of the
+  /// shares reported for the calls that it makes.
   admission::chain_shares MinChildShares;
-  /// For each kind of request that this node's backend server runs, the share
-  /// whose calls are not turned away.
-  admission::chain_feedback ChildFeedback;
   admission::work_queue Queue;
   /// Name of the instance that runs at this node's backend address, where the
   /// configuration lists instances with their backend servers. Empty while
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -47,11 +47,6 @@
   }
 }
 
-/// The requests of a template whose calls are served alike: those of one rank.
-std::string requestKind(const work_request &Request) {
-  return Request.Template + "/" + std::to_string(Request.Rank);
-}
-
 } // namespace
 
 admission_permit::~admission_permit() {
@@ -106,12 +101,10 @@
 
 double upstream_service::chainShare(const work_request &Request,
                                     monotonic_time Now) const {
-  std::string Kind = requestKind(Request);
   return std::min(
-      {admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
-       admission::chainShareOf(Node.MinChildShares, Kind, Request.Organisation,
-                               Now),
-       admission::feedbackShareOf(Node.ChildFeedback, Kind, Now)});
+      admission::shareOf(Node.Shares, Request.Rank, Request.Organisation),
+      admission::chainShareOf(Node.MinChildShares, Request.Template,
+                              Request.Organisation, Now));
 }
 
 // Admission.
@@ -233,7 +226,7 @@
   monotonic_time Now = readClocks().Monotonic;
   auto Dropped = admission::enqueue(
       Node.Queue, {Permit.Ticket, Request.Rank, Request.Organisation,
-                   Request.Depth, Request.Draw, Now, Request.Deadline,
+                   Request.Depth, Now, Request.Deadline,
                    admission::serviceTimeOf(ServiceTimes, Request.Template)});
   if (Dropped) {
     drop(*Dropped);
@@ -354,7 +347,9 @@
   } catch (const kj::Exception &) {
     HasTimedOut = true;
   }
-  recordChildren(Request, *Context, readClocks().Monotonic);
+  admission::recordChainShare(Node.MinChildShares, Request.Template,
+                              Request.Organisation, Context->MinChildShare,
+                              readClocks().Monotonic);
   work_answer Answer;
   if (HasTimedOut) {
     Permit.Result = admission::run_result::TimedOut;
@@ -401,19 +396,6 @@
   return Backend.send(std::move(Sent));
 }
 
-void upstream_service::recordChildren(const work_request &Request,
-                                      const call_context &Context,
-                                      monotonic_time Now) {
-  std::string Kind = requestKind(Request);
-  // A run without calls tells nothing of the services further down.
-  if (Context.MadeCalls) {
-    admission::recordChainShare(Node.MinChildShares, Kind, Request.Organisation,
-                                Context.MinChildShare, Now);
-  }
-  admission::recordRun(Node.ChildFeedback, Kind, 1.0 / Request.SamplingWeight,
-                       Context.ChildTurnedAway, Now);
-}
-
 void upstream_service::removeContext(const call_context &Context) {
   // A copy of the request may be running under the same token.
   auto Found = Contexts.find(Context.Token);
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -88,9 +88,6 @@
                     framework::monotonic_time Now) const;
   void logRefused(const work_request &Request, framework::refusal_reason Reason,
                   framework::monotonic_time Now) const;
-  /// Records what the calls of an ended run tell of the services further down.
-  void recordChildren(const work_request &Request, const call_context &Context,
-                      framework::monotonic_time Now);
   void removeContext(const call_context &Context);
   void dropQueuedRequests(framework::refusal_reason Reason);
   void drop(const admission::dropped_work &Dropped);
--- a/src/node/worktypes.h
+++ b/src/node/worktypes.h
@@ -72,9 +72,6 @@
   std::uint8_t UnusedTries = 0;
   /// Whether the node that sent the request may retry it.
   bool MayRetry = false;
-  /// Whether an upstream that the sending node tried refused the request for
-  /// lack of room. Known to that node only.
-  bool LackedRoom = false;
   /// Share of such requests that this service and the services below it
   /// admit.
   double ChainShare = 1.0;
--- a/src/routing/tests/upstreams_tests.cpp
+++ b/src/routing/tests/upstreams_tests.cpp
@@ -167,32 +167,3 @@
   LONGS_EQUAL(1, Listed.size());
   STRCMP_EQUAL("new", Listed[0].Name.c_str());
 }
-
-TEST(Upstreams, FailingMajorityIsEjected) {
-  for (const char *Failing : {"a", "b", "c"}) {
-    answer(Failing, loadOf(10, 0, 0.45));
-  }
-  answer("d", loadOf(10, 12));
-  for (double First : {0.0, 0.3, 0.6, 0.99}) {
-    for (double Second : {0.0, 0.5, 0.99}) {
-      STRCMP_EQUAL("d", choose({First, Second}).c_str());
-    }
-  }
-  // Their reports expire, so that they are tried again.
-  CHECK(choose({0.0, 0.0}, 2'200) != "d");
-}
-
-TEST(Upstreams, FailingUpstreamsAreUsedWhereTheSoundOnesHaveNoRoom) {
-  for (const char *Failing : {"a", "b", "c"}) {
-    answer(Failing, loadOf(10, 0, 0.2));
-  }
-  answer("d", loadOf(10, 30));
-  CHECK(choose({0.0, 0.0}) != "d");
-}
-
-TEST(Upstreams, NoneIsEjectedWhenAllFail) {
-  for (const char *Failing : {"a", "b", "c", "d"}) {
-    answer(Failing, loadOf(10, 0, 1.0));
-  }
-  CHECK(choose({0.0, 0.0}) != "none");
-}
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -84,32 +84,6 @@
   return static_cast<double>(Healthy.size()) < MinHealthy ? All : Healthy;
 }
 
-/// Whether too many requests to the upstream failed by its last report.
-bool isEjected(const upstream_table &Table, const candidate &Candidate,
-               monotonic_time Now) {
-  const upstream_view *View = findView(Table, Candidate.Address);
-  return View != nullptr &&
-         View->Load.FailureRate >= Table.Settings.EjectionFailureRate &&
-         Now - View->ReportedAt < Table.Settings.EjectionTime;
-}
-
-/// Removes the ejected candidates unless no other has room.
-void removeEjected(candidate_list &List, const upstream_table &Table,
-                   monotonic_time Now) {
-  candidate_list Sound;
-  bool HasRoom = false;
-  for (const candidate *Candidate : List) {
-    if (!isEjected(Table, *Candidate, Now)) {
-      Sound.push_back(Candidate);
-      HasRoom |= loadOf(Table, Candidate->Address, Now) <
-                 Table.Settings.EjectionMaxLoad;
-    }
-  }
-  if (HasRoom && Sound.size() < List.size()) {
-    List = std::move(Sound);
-  }
-}
-
 void removeTried(candidate_list &List, const std::vector<std::string> &Tried) {
   std::erase_if(List, [&](const candidate *Candidate) {
     return std::find(Tried.begin(), Tried.end(), Candidate->Address) !=
@@ -201,7 +175,6 @@
                                 choice_draws Draws, monotonic_time Now) {
   candidate_list Healthy = listHealthy(Table, Candidates, Now);
   removeTried(Healthy, Tried);
-  removeEjected(Healthy, Table, Now);
   if (Healthy.empty()) {
     return nullptr;
   }
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -6,11 +6,6 @@
 /// latency is chosen (Mitzenmacher, "The power of two choices", 2001).
 /// Candidates in the node's own availability zone are preferred unless one in
 /// another zone is clearly faster.
-///
-/// Load pattern: grey failure, where some upstreams of a service answer part of
-/// their requests with a failure while others are sound. The failing ones are
-/// ejected: they are not drawn as long as a sound one has room, even if they
-/// are the majority, and get a request again when their report has expired.
 #pragma once
 
 #include "configuration/store.h"
@@ -65,12 +60,6 @@
   framework::milliseconds DrainRetryInterval{3'000};
   /// Age from which a load report is ignored.
   framework::milliseconds ReportLifetime{1'000};
-  /// Failure rate from which an upstream is ejected, and the time after which
-  /// its report expires.
-  double EjectionFailureRate = 0.15;
-  framework::milliseconds EjectionTime{2'000};
-  /// Load from which a sound upstream counts as having no room.
-  double EjectionMaxLoad = 1.5;
   /// Load above which queueing delay is expected at an upstream, so that
   /// upstreams in other zones are considered. Below 1 because queues form
   /// before all slots are taken.
