--- a/src/membership/readers.cpp
+++ b/src/membership/readers.cpp
@@ -3,11 +3,20 @@
 #include "framework/hashing.h"
 
 #include <algorithm>
+#include <set>
 
 namespace figplank::membership {
 
-bool isReader(const reader_settings &Settings, std::string_view Self,
-              const std::vector<std::string> &Members,
+std::size_t readersPerZone(const reader_settings &Settings,
+                           std::size_t ZoneCount) {
+  std::size_t Zones = std::max<std::size_t>(ZoneCount, 1);
+  std::size_t RoundedUp = (Settings.Readers + Zones - 1) / Zones;
+  return std::clamp(RoundedUp, Settings.MinReadersPerZone,
+                    Settings.MaxReadersPerZone);
+}
+
+bool isReader(const reader_settings &Settings, std::size_t ReaderCount,
+              std::string_view Self, const std::vector<std::string> &Members,
               framework::wall_time Now) {
   auto Period = static_cast<std::uint64_t>(Now.time_since_epoch() /
                                            Settings.RotationPeriod);
@@ -18,7 +27,17 @@
       ++HigherWeights;
     }
   }
-  return HigherWeights < Settings.ReadersPerZone;
+  return HigherWeights < ReaderCount;
+}
+
+std::size_t countZones(const configuration::catalog &Catalog) {
+  std::set<std::string_view> Zones;
+  for (const auto &[Service, Instances] : Catalog.Instances) {
+    for (const auto &[Name, Instance] : Instances) {
+      Zones.insert(Instance.Zone);
+    }
+  }
+  return Zones.size();
 }
 
 std::vector<std::string> listNodes(const configuration::catalog &Catalog,
--- a/src/membership/readers.h
+++ b/src/membership/readers.h
@@ -20,9 +20,13 @@
 namespace figplank::membership {
 
 struct reader_settings {
-  /// Number of readers per availability zone. More than one, so that a reader
+  /// Number of readers in all availability zones together, by which calls to
+  /// the platform grow.
+  std::size_t Readers = 9;
+  /// Bounds of the number of readers of a zone. More than one, so that a reader
   /// that is dead, paused or partitioned costs only its share of the pushes.
-  std::size_t ReadersPerZone = 3;
+  std::size_t MinReadersPerZone = 2;
+  std::size_t MaxReadersPerZone = 3;
   /// Time after which a zone's readers are selected anew.
   framework::milliseconds RotationPeriod{60'000};
   /// Time without any update from the platform or a peer after which a node
@@ -31,13 +35,20 @@
   framework::milliseconds MaxUpdateAge{10'000};
 };
 
-/// Whether the node at address \p Self is a reader of its zone at \p Now.
-/// \p Members are the addresses of the zone's nodes that are considered alive,
-/// including \p Self.
-bool isReader(const reader_settings &Settings, std::string_view Self,
-              const std::vector<std::string> &Members,
+/// Number of readers of each of \p ZoneCount zones.
+std::size_t readersPerZone(const reader_settings &Settings,
+                           std::size_t ZoneCount);
+
+/// Whether the node at address \p Self is one of the \p ReaderCount readers of
+/// its zone at \p Now. \p Members are the addresses of the zone's nodes that
+/// are considered alive, including \p Self.
+bool isReader(const reader_settings &Settings, std::size_t ReaderCount,
+              std::string_view Self, const std::vector<std::string> &Members,
               framework::wall_time Now);
 
+/// Number of availability zones on the list of instances.
+std::size_t countZones(const configuration::catalog &Catalog);
+
 /// Addresses of the nodes on the list of instances: those in \p Zone, or all if
 /// \p Zone is empty.
 std::vector<std::string> listNodes(const configuration::catalog &Catalog,
--- a/src/membership/tests/readers_tests.cpp
+++ b/src/membership/tests/readers_tests.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t ReaderCount = 3;
+
 std::vector<std::string> makeHundredMembers() {
   std::vector<std::string> Members;
   Members.reserve(100);
@@ -26,7 +28,8 @@
                                 std::int64_t Now) {
   std::set<std::string> Readers;
   for (const std::string &Member : Members) {
-    if (isReader({}, Member, Members, wall_time(milliseconds(Now)))) {
+    if (isReader({}, ReaderCount, Member, Members,
+                 wall_time(milliseconds(Now)))) {
       Readers.insert(Member);
     }
   }
@@ -54,6 +57,23 @@
   CHECK(After.count(*Before.begin()) == 0);
 }
 
+TEST(Readers, ReadersGrowWithZonesOnlyWhereEachNeedsTwo) {
+  for (std::size_t Zones : {0, 1, 2, 3}) {
+    LONGS_EQUAL(3, readersPerZone({}, Zones));
+  }
+  LONGS_EQUAL(2, readersPerZone({}, 5));
+  LONGS_EQUAL(2, readersPerZone({}, 23));
+}
+
+TEST(Readers, ZonesAreThoseOfTheListedInstances) {
+  configuration::catalog Catalog;
+  LONGS_EQUAL(0, countZones(Catalog));
+  Catalog.Instances["s"]["one"].Zone = "z1";
+  Catalog.Instances["s"]["two"].Zone = "z2";
+  Catalog.Instances["t"]["three"].Zone = "z1";
+  LONGS_EQUAL(2, countZones(Catalog));
+}
+
 TEST(Readers, AllMembersOfASmallZoneAreReaders) {
   LONGS_EQUAL(2, readersAt({"a", "b"}, 0).size());
 }
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -117,6 +117,8 @@
 void disseminator::updateNodeLists() {
   ZoneNodes = membership::listNodes(Node.Store.Catalog, Node.Settings.Zone);
   AllNodes = membership::listNodes(Node.Store.Catalog, "");
+  ReaderCount = membership::readersPerZone(
+      Node.ReaderSettings, membership::countZones(Node.Store.Catalog));
 }
 
 void disseminator::receivePush(const std::vector<published_entry> &Entries,
@@ -386,8 +388,9 @@
     return;
   }
   NextReaderChoice = Now.Monotonic + ReaderChoiceInterval;
-  bool Chosen = membership::isReader(
-      Node.ReaderSettings, Node.Settings.RpcAddress, ZoneNodes, Now.Wall);
+  bool Chosen =
+      membership::isReader(Node.ReaderSettings, ReaderCount,
+                           Node.Settings.RpcAddress, ZoneNodes, Now.Wall);
   // A node that receives no updates reads the platform itself. The delay before
   // that differs between nodes, so that the nodes of a partitioned zone do not
   // all call the platform at once.
@@ -418,7 +421,8 @@
 disseminator::listReaders(framework::wall_time Now) const {
   std::vector<std::string> Readers;
   for (const std::string &Member : ZoneNodes) {
-    if (membership::isReader(Node.ReaderSettings, Member, ZoneNodes, Now)) {
+    if (membership::isReader(Node.ReaderSettings, ReaderCount, Member,
+                             ZoneNodes, Now)) {
       Readers.push_back(Member);
     }
   }
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -155,6 +155,8 @@
   /// zones. Both include this node.
   std::vector<std::string> ZoneNodes;
   std::vector<std::string> AllNodes;
+  /// Number of readers of each zone.
+  std::size_t ReaderCount = 1;
   framework::monotonic_time NextReaderChoice;
   framework::monotonic_time StartTime;
   framework::monotonic_time LastUpdate;
