--- /dev/null
+++ b/src/node/backendqueue.cpp
@@ -0,0 +1,171 @@
+#include "node/backendqueue.h"
+
+#include <algorithm>
+
+namespace figplank::node {
+namespace {
+
+using framework::monotonic_time;
+using framework::readClocks;
+using framework::refusal_reason;
+
+/// Time reserved for a refusal to reach the entry.
+constexpr framework::milliseconds RefusalMargin{10};
+/// Fraction of its latency objective that a request may spend in the queue.
+constexpr double QueueFractionOfObjective = 0.4;
+
+} // namespace
+
+admission_permit::admission_permit(backend_queue &Queue)
+    : Queue(Queue), Ticket(Queue.NextTicket++) {}
+
+admission_permit::~admission_permit() {
+  Queue.Permits.erase(Ticket);
+  if (Queued && !Granted) {
+    admission::removeTicket(Queue.Node.Queue, Ticket);
+  }
+  if (Granted) {
+    admission::releaseSlot(Queue.Node.Limit, Result);
+    Queue.grantFreeSlots();
+  }
+}
+
+task<refusal_reason> backend_queue::awaitPermit(admission_permit &Permit,
+                                                const work_request &Request) {
+  bool Unlimited = Node.Settings.Admission == admission_mode::None;
+  if (Unlimited || (Node.Queue.Size == 0 &&
+                    admission::hasFreeSlot(Node.Limit, Request.Rank))) {
+    admission::acquireSlot(Node.Limit);
+    Permit.Granted = true;
+    recordWait(Request.Rank, framework::microseconds(0));
+    co_return refusal_reason::None;
+  }
+  auto Pair = kj::newPromiseAndFulfiller<refusal_reason>();
+  Permit.Fulfiller = kj::mv(Pair.fulfiller);
+  Permit.Queued = true;
+  Permits[Permit.Ticket] = &Permit;
+  monotonic_time Now = readClocks().Monotonic;
+  auto Dropped = admission::enqueue(
+      Node.Queue, {Permit.Ticket, Request.Rank, Request.Organisation,
+                   Request.Depth, Now, Request.Deadline,
+                   admission::serviceTimeOf(ServiceTimes, Request.Template)});
+  if (Dropped) {
+    drop(*Dropped);
+  }
+  grantFreeSlots();
+  refusal_reason TimeoutReason = refusal_reason::DeadlineUnreachable;
+  kj::Promise<refusal_reason> Timeout =
+      Node.Timer.afterDelay(toDuration(maxQueueWait(Request, Now)))
+          .then([TimeoutReason]() { return TimeoutReason; });
+  kj::Promise<refusal_reason> Either =
+      Pair.promise.exclusiveJoin(kj::mv(Timeout));
+  refusal_reason Reason = co_await kj::mv(Either);
+  // The waits of dropped requests count as well.
+  recordWait(Request.Rank, readClocks().Monotonic - Now);
+  co_return Reason;
+}
+
+framework::microseconds backend_queue::maxQueueWait(const work_request &Request,
+                                                    monotonic_time Now) const {
+  if (!Request.Forwarded) {
+    return Request.Deadline - Now;
+  }
+  // NOTE The refusal must reach the entry before the deadline. Otherwise the
+  // entry has to report an unknown outcome.
+  framework::microseconds Left =
+      Request.Deadline - Now -
+      admission::serviceTimeOf(ServiceTimes, Request.Template) - RefusalMargin;
+  bool LimitedByObjective =
+      Request.Depth == 0 && Request.LatencyObjective.count() > 0;
+  auto ObjectiveWait = std::chrono::duration_cast<framework::microseconds>(
+      Request.LatencyObjective * QueueFractionOfObjective);
+  return LimitedByObjective ? std::min(Left, ObjectiveWait) : Left;
+}
+
+std::optional<std::uint8_t> backend_queue::leastUrgentRankWithFreeSlot() const {
+  constexpr std::uint8_t LeastUrgent = configuration::RankCount - 1;
+  if (admission::hasFreeSlot(Node.Limit, LeastUrgent)) {
+    return LeastUrgent;
+  }
+  if (admission::hasFreeSlot(Node.Limit, Node.Limit.ReservedUpToRank)) {
+    return Node.Limit.ReservedUpToRank;
+  }
+  return std::nullopt;
+}
+
+void backend_queue::drop(const admission::dropped_work &Dropped) {
+  admission_permit *Permit = Permits[Dropped.Ticket];
+  Permit->Queued = false;
+  Permit->Fulfiller->fulfill(kj::cp(Dropped.Reason));
+}
+
+void backend_queue::dropAll(refusal_reason Reason) {
+  std::vector<std::uint64_t> Tickets;
+  for (const auto &[Ticket, Permit] : Permits) {
+    if (Permit->Queued && !Permit->Granted) {
+      Tickets.push_back(Ticket);
+    }
+  }
+  for (std::uint64_t Ticket : Tickets) {
+    admission::removeTicket(Node.Queue, Ticket);
+    drop({Ticket, Reason});
+  }
+}
+
+void backend_queue::grantFreeSlots() {
+  while (Node.Queue.Size > 0) {
+    auto LeastUrgentRank = leastUrgentRankWithFreeSlot();
+    if (!LeastUrgentRank) {
+      return;
+    }
+    admission::dequeue_result Found =
+        admission::dequeue(Node.Queue, Node.MinimumShares, *LeastUrgentRank,
+                           readClocks().Monotonic);
+    for (const admission::dropped_work &Dropped : Found.Dropped) {
+      drop(Dropped);
+    }
+    if (!Found.Next) {
+      return;
+    }
+    admission_permit *Permit = Permits[Found.Next->Ticket];
+    admission::acquireSlot(Node.Limit);
+    Permit->Granted = true;
+    Permit->Fulfiller->fulfill(refusal_reason::None);
+  }
+}
+
+void backend_queue::recordWait(std::uint8_t Rank,
+                               framework::microseconds Waited) {
+  std::optional<framework::microseconds> &MinWait = MinWaits[Rank];
+  MinWait = std::min(MinWait.value_or(Waited), Waited);
+  MaxWait = std::max(MaxWait, Waited);
+  Node.Metrics.Timing.Queue->Observe(framework::inSeconds(Waited));
+}
+
+framework::microseconds backend_queue::standingDelay() const {
+  // NOTE Urgent requests overtake the queue, so their waits do not reflect its
+  // delay.
+  framework::microseconds Standing{0};
+  for (const auto &MinWait : MinWaits) {
+    Standing = std::max(Standing, MinWait.value_or(Standing));
+  }
+  return Standing;
+}
+
+void backend_queue::advance(monotonic_time Now) {
+  admission::advanceLimit(Node.Limit, Now);
+  PeakInFlight = std::max(PeakInFlight, Node.Limit.PeakInFlight);
+  admission::window_measurement Measurement{Node.Limit.Limit, standingDelay(),
+                                            static_cast<double>(PeakInFlight)};
+  if (admission::advanceShares(Node.Shares, Measurement, Node.MinimumShares,
+                               Now)) {
+    std::uint8_t ReservedRank = admission::mostUrgentRank(Node.Shares);
+    admission::reserveSlots(Node.Limit, ReservedRank);
+    MinWaits = {};
+    MaxWait = framework::microseconds(0);
+    PeakInFlight = 0;
+  }
+  grantFreeSlots();
+}
+
+} // namespace figplank::node
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -31,6 +31,12 @@
   }
 }
 
+/// Whether \p Request may be sent again though it may have run: it is
+/// idempotent, or the home of its id detects copies.
+bool isRepeatable(const work_request &Request) {
+  return Request.Idempotent || hasHome(Request);
+}
+
 /// Maximum number of upstreams that a request of a route is sent to without
 /// using its retry budget, as long as it reaches no backend server.
 constexpr std::size_t MaxUpstreamsTried = 4;
@@ -267,10 +273,7 @@
   if (Now >= Request.Deadline) {
     return false;
   }
-  // The extra try is left to the calls further up if there is no token for it.
-  bool Granted = Budget.ExtraTries > 0 &&
-                 retry::takeRetryToken(retryTokensOf(Request.Service)) &&
-                 retry::takeExtraTry(Budget);
+  bool Granted = retry::takeRetry(Budget, retryTokensOf(Request.Service));
   if (Granted) {
     countRetry(Node.Metrics, Reason);
   }
@@ -335,10 +338,9 @@
     std::uint64_t Attempt = NextAttempt++;
     writeRequest(Message.initRequest(), Request, Attempt,
                  readClocks().Monotonic);
-    bool IsRepeatable = Request.Idempotent || hasHome(Request);
     auto Called = co_await Peers.call(
         kj::mv(*Connection), kj::mv(Message), Request.Deadline,
-        IsRepeatable ? silence_policy::Fail : silence_policy::Wait);
+        isRepeatable(Request) ? silence_policy::Fail : silence_policy::Wait);
     Failure = Called.Error.Failure;
     KJ_IF_MAYBE (Response, Called.Value) {
       auto Answer = readAnswer(Response->getAnswer(), Attempt);
@@ -392,11 +394,8 @@
   // all may have been used.
   Result.Answer.UnusedTries =
       Failure == call_failure::NotSent ? Request.ExtraTries : 0;
-  // Another upstream must not run a request that may have run here unless it is
-  // idempotent. The home of an id detects copies.
-  bool IsRepeatable =
-      Request.Idempotent || hasHome(Request) || !Result.MayHaveRun;
-  Result.Answer.MayRetry = Failure != call_failure::TimedOut && IsRepeatable;
+  Result.Answer.MayRetry = Failure != call_failure::TimedOut &&
+                           (isRepeatable(Request) || !Result.MayHaveRun);
   co_return kj::mv(Result);
 }
 
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -25,11 +25,6 @@
 /// Time for which a leaving backend server still receives requests, since some
 /// callers do not know yet that it is leaving.
 constexpr milliseconds LeavingGracePeriod{300};
-/// Time reserved for a refusal to reach the entry.
-constexpr milliseconds RefusalMargin{10};
-/// Fraction of its latency objective that a request may spend in the queue.
-constexpr double QueueFractionOfObjective = 0.4;
-
 /// Whether a request refused for \p Reason may succeed at another upstream.
 bool isRetryableElsewhere(refusal_reason Reason) {
   switch (Reason) {
@@ -49,24 +44,14 @@
 
 } // namespace
 
-admission_permit::~admission_permit() {
-  Service.Permits.erase(Ticket);
-  if (Queued && !Granted) {
-    admission::removeTicket(Service.Node.Queue, Ticket);
-  }
-  if (Granted) {
-    admission::releaseSlot(Service.Node.Limit, Result);
-    Service.grantFreeSlots();
-  }
-}
-
 upstream_service::upstream_service(node_runtime &Node, peer_pool &Peers,
                                    const wire_dialect *Dialect)
     : Notifier(Node, Peers), Home(Node, Peers,
                                   [this](work_request Request) {
                                     return admitAndRun(std::move(Request));
                                   }),
-      Node(Node), Backend(Node, Dialect), Crashes(Node, Backend, Notifier) {}
+      Node(Node), Queue(Node, ServiceTimes), Backend(Node, Dialect),
+      Crashes(Node, Backend, Notifier) {}
 
 task<work_answer> upstream_service::execute(work_request Request) {
   work_answer Answer;
@@ -117,9 +102,9 @@
   if (Reason == refusal_reason::None) {
     Reason = admit(Request, readClocks().Monotonic);
   }
-  admission_permit Permit(*this, NextTicket++);
+  admission_permit Permit(Queue);
   if (Reason == refusal_reason::None) {
-    Reason = co_await awaitPermit(Permit, Request);
+    Reason = co_await Queue.awaitPermit(Permit, Request);
   }
   work_answer Answer;
   if (Reason == refusal_reason::None) {
@@ -208,113 +193,6 @@
   return InTime ? refusal_reason::None : refusal_reason::DeadlineUnreachable;
 }
 
-task<refusal_reason>
-upstream_service::awaitPermit(admission_permit &Permit,
-                              const work_request &Request) {
-  bool Unlimited = Node.Settings.Admission == admission_mode::None;
-  if (Unlimited || (Node.Queue.Size == 0 &&
-                    admission::hasFreeSlot(Node.Limit, Request.Rank))) {
-    admission::acquireSlot(Node.Limit);
-    Permit.Granted = true;
-    recordWait(Request.Rank, framework::microseconds(0));
-    co_return refusal_reason::None;
-  }
-  auto Pair = kj::newPromiseAndFulfiller<refusal_reason>();
-  Permit.Fulfiller = kj::mv(Pair.fulfiller);
-  Permit.Queued = true;
-  Permits[Permit.Ticket] = &Permit;
-  monotonic_time Now = readClocks().Monotonic;
-  auto Dropped = admission::enqueue(
-      Node.Queue, {Permit.Ticket, Request.Rank, Request.Organisation,
-                   Request.Depth, Now, Request.Deadline,
-                   admission::serviceTimeOf(ServiceTimes, Request.Template)});
-  if (Dropped) {
-    drop(*Dropped);
-  }
-  grantFreeSlots();
-  refusal_reason TimeoutReason = refusal_reason::DeadlineUnreachable;
-  kj::Promise<refusal_reason> Timeout =
-      Node.Timer.afterDelay(toDuration(maxQueueWait(Request, Now)))
-          .then([TimeoutReason]() { return TimeoutReason; });
-  kj::Promise<refusal_reason> Either =
-      Pair.promise.exclusiveJoin(kj::mv(Timeout));
-  refusal_reason Reason = co_await kj::mv(Either);
-  // The waits of dropped requests count as well.
-  recordWait(Request.Rank, readClocks().Monotonic - Now);
-  co_return Reason;
-}
-
-framework::microseconds
-upstream_service::maxQueueWait(const work_request &Request,
-                               monotonic_time Now) const {
-  if (!Request.Forwarded) {
-    return Request.Deadline - Now;
-  }
-  // NOTE The refusal must reach the entry before the deadline. Otherwise the
-  // entry has to report an unknown outcome.
-  framework::microseconds Left =
-      Request.Deadline - Now -
-      admission::serviceTimeOf(ServiceTimes, Request.Template) - RefusalMargin;
-  bool LimitedByObjective =
-      Request.Depth == 0 && Request.LatencyObjective.count() > 0;
-  auto ObjectiveWait = std::chrono::duration_cast<framework::microseconds>(
-      Request.LatencyObjective * QueueFractionOfObjective);
-  return LimitedByObjective ? std::min(Left, ObjectiveWait) : Left;
-}
-
-std::optional<std::uint8_t>
-upstream_service::leastUrgentRankWithFreeSlot() const {
-  constexpr std::uint8_t LeastUrgent = configuration::RankCount - 1;
-  if (admission::hasFreeSlot(Node.Limit, LeastUrgent)) {
-    return LeastUrgent;
-  }
-  if (admission::hasFreeSlot(Node.Limit, Node.Limit.ReservedUpToRank)) {
-    return Node.Limit.ReservedUpToRank;
-  }
-  return std::nullopt;
-}
-
-void upstream_service::drop(const admission::dropped_work &Dropped) {
-  admission_permit *Permit = Permits[Dropped.Ticket];
-  Permit->Queued = false;
-  Permit->Fulfiller->fulfill(kj::cp(Dropped.Reason));
-}
-
-void upstream_service::dropQueuedRequests(refusal_reason Reason) {
-  std::vector<std::uint64_t> Tickets;
-  for (const auto &[Ticket, Permit] : Permits) {
-    if (Permit->Queued && !Permit->Granted) {
-      Tickets.push_back(Ticket);
-    }
-  }
-  for (std::uint64_t Ticket : Tickets) {
-    admission::removeTicket(Node.Queue, Ticket);
-    drop({Ticket, Reason});
-  }
-}
-
-void upstream_service::grantFreeSlots() {
-  while (Node.Queue.Size > 0) {
-    auto LeastUrgentRank = leastUrgentRankWithFreeSlot();
-    if (!LeastUrgentRank) {
-      return;
-    }
-    admission::dequeue_result Found =
-        admission::dequeue(Node.Queue, Node.MinimumShares, *LeastUrgentRank,
-                           readClocks().Monotonic);
-    for (const admission::dropped_work &Dropped : Found.Dropped) {
-      drop(Dropped);
-    }
-    if (!Found.Next) {
-      return;
-    }
-    admission_permit *Permit = Permits[Found.Next->Ticket];
-    admission::acquireSlot(Node.Limit);
-    Permit->Granted = true;
-    Permit->Fulfiller->fulfill(refusal_reason::None);
-  }
-}
-
 // Execution at the backend server.
 
 task<work_answer>
@@ -462,43 +340,11 @@
   co_return kj::mv(Answer);
 }
 
-// Control windows.
-
 void upstream_service::tick(monotonic_time Now) {
   if (isBackendLeaving(Now)) {
-    dropQueuedRequests(refusal_reason::Draining);
-  }
-  admission::advanceLimit(Node.Limit, Now);
-  PeakInFlight = std::max(PeakInFlight, Node.Limit.PeakInFlight);
-  admission::window_measurement Measurement{Node.Limit.Limit, standingDelay(),
-                                            static_cast<double>(PeakInFlight)};
-  if (admission::advanceShares(Node.Shares, Measurement, Node.MinimumShares,
-                               Now)) {
-    std::uint8_t ReservedRank = admission::mostUrgentRank(Node.Shares);
-    admission::reserveSlots(Node.Limit, ReservedRank);
-    MinWaits = {};
-    MaxWait = framework::microseconds(0);
-    PeakInFlight = 0;
-  }
-  grantFreeSlots();
-}
-
-void upstream_service::recordWait(std::uint8_t Rank,
-                                  framework::microseconds Waited) {
-  std::optional<framework::microseconds> &MinWait = MinWaits[Rank];
-  MinWait = std::min(MinWait.value_or(Waited), Waited);
-  MaxWait = std::max(MaxWait, Waited);
-  Node.Metrics.Timing.Queue->Observe(framework::inSeconds(Waited));
-}
-
-framework::microseconds upstream_service::standingDelay() const {
-  // NOTE Urgent requests overtake the queue, so their waits do not reflect its
-  // delay.
-  framework::microseconds Standing{0};
-  for (const auto &MinWait : MinWaits) {
-    Standing = std::max(Standing, MinWait.value_or(Standing));
+    Queue.dropAll(refusal_reason::Draining);
   }
-  return Standing;
+  Queue.advance(Now);
 }
 
 std::size_t upstream_service::unfinishedRequests() const {
@@ -508,8 +354,9 @@
 milliseconds upstream_service::retryAfter() {
   // The jitter of up to the base time keeps refused callers from retrying at
   // the same moment.
-  auto Base = std::max(MinRetryAfter,
-                       std::chrono::duration_cast<milliseconds>(MaxWait));
+  auto Base =
+      std::max(MinRetryAfter,
+               std::chrono::duration_cast<milliseconds>(Queue.longestWait()));
   auto Spread = static_cast<std::int64_t>(static_cast<double>(Base.count()) *
                                           Node.draw());
   return Base + milliseconds(Spread);
--- a/src/retry/budget.cpp
+++ b/src/retry/budget.cpp
@@ -44,6 +44,11 @@
   return true;
 }
 
+bool takeRetry(retry_budget &Budget, retry_token_bucket &Bucket) {
+  return Budget.ExtraTries > 0 && takeRetryToken(Bucket) &&
+         takeExtraTry(Budget);
+}
+
 framework::milliseconds backoffDelay(const backoff_settings &Settings,
                                      unsigned Retry, double JitterFraction,
                                      framework::milliseconds RetryAfter) {
--- a/src/retry/budget.h
+++ b/src/retry/budget.h
@@ -73,6 +73,11 @@
 /// Takes the token for one retry if there is one. Returns whether it did.
 bool takeRetryToken(retry_token_bucket &Bucket);
 
+/// Takes one extra try and the token for it. Takes neither unless there are
+/// both, so that the try is left to the calls further up. Returns whether it
+/// did.
+bool takeRetry(retry_budget &Budget, retry_token_bucket &Bucket);
+
 /// Bounds of the delay before a retry.
 struct backoff_settings {
   framework::milliseconds BaseDelay{5};
--- a/src/retry/tests/budget_tests.cpp
+++ b/src/retry/tests/budget_tests.cpp
@@ -69,3 +69,19 @@
         Settings.MaxDelay);
   CHECK(backoffDelay(Settings, 1, 0.0, milliseconds(150)) == milliseconds(150));
 }
+
+TEST(Budget, RetryWithoutATokenLeavesTheExtraTry) {
+  retry_budget Budget{2};
+  retry_token_bucket Bucket{1.0, 1.0};
+  CHECK(takeRetry(Budget, Bucket));
+  LONGS_EQUAL(1, Budget.ExtraTries);
+  CHECK_FALSE(takeRetry(Budget, Bucket));
+  LONGS_EQUAL(1, Budget.ExtraTries);
+}
+
+TEST(Budget, RetryWithoutAnExtraTryLeavesTheToken) {
+  retry_budget Budget{0};
+  retry_token_bucket Bucket{1.0, 1.0};
+  CHECK_FALSE(takeRetry(Budget, Bucket));
+  DOUBLES_EQUAL(1.0, Bucket.Tokens, 0.0);
+}
