--- a/review/standins/stage.cpp
+++ b/review/standins/stage.cpp
@@ -134,12 +134,12 @@
   return Ip + ":" + std::to_string(Port);
 }
 
-/// Milliseconds of work that the path of a request asks for.
-milliseconds workOf(const std::string &Path) {
-  std::size_t Found = Path.find("/ms");
-  return milliseconds(Found == std::string::npos
-                          ? 0
-                          : toNumber(std::string_view(Path).substr(Found + 3)));
+/// The number that follows \p Mark in \p Path, or 0.
+std::uint64_t numberAfter(const std::string &Path, std::string_view Mark) {
+  std::size_t Found = Path.find(Mark);
+  return Found == std::string::npos
+             ? 0
+             : toNumber(std::string_view(Path).substr(Found + Mark.size()));
 }
 
 } // namespace
@@ -201,7 +201,7 @@
   return true;
 }
 
-bool connection::fill(steady::time_point End) {
+bool connection::fill(steady::time_point End, std::size_t MaxBytes) {
   auto Left = std::chrono::ceil<milliseconds>(End - steady::now());
   pollfd Poll{Descriptor, POLLIN, 0};
   int Timeout = static_cast<int>(std::max<std::int64_t>(0, Left.count()));
@@ -209,7 +209,8 @@
     return false;
   }
   std::array<char, 65536> Bytes{};
-  ssize_t Count = recv(Descriptor, Bytes.data(), Bytes.size(), 0);
+  ssize_t Count =
+      recv(Descriptor, Bytes.data(), std::min(MaxBytes, Bytes.size()), 0);
   if (Count <= 0) {
     Ended = true;
     return false;
@@ -250,6 +251,15 @@
   return Message;
 }
 
+std::size_t connection::readSome(std::size_t Bytes, milliseconds Timeout) {
+  if (Buffer.empty()) {
+    fill(steady::now() + Timeout, Bytes);
+  }
+  std::size_t Count = Buffer.size();
+  Buffer.clear();
+  return Count;
+}
+
 bool connection::awaitClose(milliseconds Time) {
   const steady::time_point End = steady::now() + Time;
   while (Buffer.empty() && !Ended && steady::now() < End) {
@@ -446,7 +456,7 @@
       Runs.push_back({AttemptId, secondsNow(), 0.0, false});
     }
     Record.line("run " + AttemptId + " starts at " + Id);
-    milliseconds Work = workOf(Request->secondWord());
+    milliseconds Work(numberAfter(Request->secondWord(), "/ms"));
     bool Cancelled = Work.count() > 0 && Connection.awaitClose(Work);
     {
       std::lock_guard<std::mutex> Lock(Mutex);
@@ -456,6 +466,7 @@
     Record.line("run " + AttemptId +
                 (Cancelled ? " cancelled at " : " ends at ") + Id);
     std::string Body = "answer of " + AttemptId + "\n";
+    Body.append(numberAfter(Request->secondWord(), "/bytes"), 'a');
     std::string Answer = "HTTP/1.1 200 OK\r\nAttempt-Id: " + AttemptId;
     Answer += "\r\nResponse-Seal: s." + AttemptId;
     Answer += "\r\nContent-Length: " + std::to_string(Body.size());
--- a/review/standins/stage.h
+++ b/review/standins/stage.h
@@ -68,6 +68,8 @@
   /// Reads one HTTP message with a length. Nothing if the connection ends or
   /// \p Timeout passes first; isEnded() tells which.
   std::optional<message> read(milliseconds Timeout);
+  /// Reads at most \p Bytes bytes of whatever comes, and returns their number.
+  std::size_t readSome(std::size_t Bytes, milliseconds Timeout);
   /// Waits until the peer closes or sends, at most \p Time. Returns whether the
   /// connection was closed.
   bool awaitClose(milliseconds Time);
@@ -77,7 +79,9 @@
   void shutDown();
 
 private:
-  bool fill(steady::time_point End);
+  /// Adds at most \p MaxBytes to Buffer. False if the connection has ended or
+  /// nothing comes before \p End.
+  bool fill(steady::time_point End, std::size_t MaxBytes = 65536);
 
   int Descriptor;
   std::string Buffer;
@@ -147,7 +151,8 @@
 };
 
 /// A backend server, for requests that work as long as their path says:
-/// `/PREFIX/ms250/NAME` takes 250 ms.
+/// `/PREFIX/ms250/NAME` takes 250 ms. `/PREFIX/bytes1000/NAME` gets an answer
+/// of 1,000 bytes more than others.
 class server {
 public:
   server(std::string Id, std::string Service, std::string Ip, int Port,
