--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -340,7 +340,8 @@
 void disseminator::applyPlatformUpdate(const platform_update &Update) {
   Node.Metrics.Dissemination.PlatformCalls->Increment(Update.Calls);
   if (!Update.Reached) {
-    Node.Metrics.Dissemination.PlatformFailures->Increment();
+    auto Reason = static_cast<std::size_t>(Update.Failure);
+    Node.Metrics.Dissemination.PlatformFailures[Reason]->Increment();
     return;
   }
   PlatformAnswered = true;
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -111,8 +111,14 @@
   dissemination_counters &Counters = Metrics.Dissemination;
   Counters.PlatformCalls =
       addCounter(To, "figplank_platform_calls_total", "Calls to the platform");
-  Counters.PlatformFailures = addCounter(To, "figplank_platform_failures_total",
-                                         "Failed calls to the platform");
+  auto &Failures = BuildCounter()
+                       .Name("figplank_platform_failures_total")
+                       .Help("Failed reads of the platform, by reason")
+                       .Register(To);
+  for (std::size_t I = 0; I < Counters.PlatformFailures.size(); ++I) {
+    Counters.PlatformFailures[I] =
+        &Failures.Add({{"reason", std::string(ReadFailureNames[I].Name)}});
+  }
   Counters.EntriesAccepted = addCounter(To, "figplank_entries_accepted_total",
                                         "Configuration entries accepted");
   Counters.EntriesRefused = addCounter(To, "figplank_entries_refused_total",
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -4,6 +4,7 @@
 
 #include "configuration/configurationtypes.h"
 #include "framework/outcome.h"
+#include "node/platformreader.h"
 #include "retry/budget.h"
 
 #include <prometheus/counter.h>
@@ -31,7 +32,8 @@
 /// Counters of the dissemination of the configuration.
 struct dissemination_counters {
   prometheus::Counter *PlatformCalls = nullptr;
-  prometheus::Counter *PlatformFailures = nullptr;
+  /// In the order of the enumerators.
+  std::array<prometheus::Counter *, ReadFailureNames.size()> PlatformFailures{};
   prometheus::Counter *EntriesAccepted = nullptr;
   prometheus::Counter *EntriesRefused = nullptr;
   prometheus::Counter *EntriesNotNewer = nullptr;
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -61,6 +61,15 @@
   return Answer;
 }
 
+read_failure failureOf(const httplib::Result &Result) {
+  if (Result) {
+    return read_failure::Refused;
+  }
+  bool Unconnected = Result.error() == httplib::Error::Connection ||
+                     Result.error() == httplib::Error::ConnectionTimeout;
+  return Unconnected ? read_failure::NoConnection : read_failure::NoAnswer;
+}
+
 namespace {
 
 platform_update watch(httplib::Client &Client, std::uint64_t After) {
@@ -69,6 +78,7 @@
   auto Result = Client.Get(Path);
   platform_update Update;
   if (!Result || Result->status != 200) {
+    Update.Failure = failureOf(Result);
     return Update;
   }
   auto Answer = parseWatchAnswer(Result->body);
--- a/src/node/platformreader.h
+++ b/src/node/platformreader.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include "configuration/configurationtypes.h"
+#include "framework/enumnames.h"
 
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -15,11 +17,38 @@
 #include <thread>
 #include <vector>
 
+namespace httplib {
+class Result;
+}
+
 namespace figplank::node {
 
+/// Why a read of the platform returned nothing.
+enum class read_failure : std::uint8_t {
+  /// No connection could be opened.
+  NoConnection,
+  /// The connection ended or stayed silent until the time for the answer was
+  /// over.
+  NoAnswer,
+  /// The platform answered with a failure.
+  Refused,
+  /// The answer could not be read.
+  Malformed,
+};
+
+inline constexpr std::array<framework::enum_name<read_failure>, 4>
+    ReadFailureNames{{
+        {read_failure::NoConnection, "no_connection"},
+        {read_failure::NoAnswer, "no_answer"},
+        {read_failure::Refused, "refused"},
+        {read_failure::Malformed, "malformed"},
+    }};
+
 /// Result of one read of the platform.
 struct platform_update {
   bool Reached = false;
+  /// Only meaningful if the platform was not reached.
+  read_failure Failure = read_failure::Malformed;
   /// The platform's revision. The next read asks for newer entries.
   std::uint64_t Revision = 0;
   std::vector<configuration::published_entry> Entries;
@@ -61,6 +90,9 @@
 /// malformed.
 std::optional<watch_answer> parseWatchAnswer(const std::string &Body);
 
+/// Why a call ended without the answer that was asked for.
+read_failure failureOf(const httplib::Result &Result);
+
 class platform_reader {
 public:
   /// \p Deliver is called on the reader's thread after each read.
