--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -65,6 +65,15 @@
   });
 }
 
+void relay::beginSilence() {
+  silence();
+  Loop.run([this]() { Silent = true; });
+}
+
+void relay::endSilence() {
+  Loop.run([this]() { Silent = false; });
+}
+
 void relay::block(const std::vector<std::string> &Prefixes) {
   Loop.run([&]() {
     BlockedPrefixes = Prefixes;
@@ -100,6 +109,10 @@
   if (isBlocked(Connection->Source)) {
     co_return;
   }
+  if (Silent) {
+    Connections.push_back(std::move(Connection));
+    co_return;
+  }
   bool Connected = false;
   try {
     Connection->TargetStream = co_await TargetAddress->connect();
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -33,6 +33,10 @@
   /// Stops forwarding on all open connections but leaves them open. New
   /// connections are forwarded.
   void silence();
+  /// Like silence(), and new connections are accepted without being forwarded
+  /// until endSilence() is called. They stay silent after it.
+  void beginSilence();
+  void endSilence();
 
 private:
   struct forwarded_connection {
@@ -56,6 +60,7 @@
   kj::Maybe<kj::Promise<void>> Accepting;
   std::vector<std::unique_ptr<forwarded_connection>> Connections;
   std::vector<std::string> BlockedPrefixes;
+  bool Silent = false;
 };
 
 } // namespace figplank::standins
