--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -13,13 +13,18 @@
 
 using nlohmann::json;
 
-constexpr int ConnectTimeoutSeconds = 1;
-/// Must exceed WatchWaitMs, the time for which the platform holds a watch open.
-constexpr int ReadTimeoutSeconds = 15;
-constexpr int WatchWaitMs = 10'000;
-constexpr std::chrono::milliseconds RetryDelay{500};
-/// Delay after an update, so that one call fetches a burst of changes.
-constexpr std::chrono::milliseconds BatchDelay{200};
+using membership::read_result;
+
+constexpr framework::milliseconds ConnectTimeout{500};
+
+read_result resultOf(const platform_update &Update) {
+  if (Update.Reached) {
+    return Update.Entries.empty() ? read_result::Unchanged
+                                  : read_result::Changed;
+  }
+  return Update.Failure == read_failure::NoAnswer ? read_result::NoAnswer
+                                                  : read_result::Failed;
+}
 
 std::optional<configuration::published_entry> parseEntry(const json &Entry) {
   bool Valid = Entry.is_object() && Entry.contains("key") &&
@@ -72,9 +77,11 @@
 
 namespace {
 
-platform_update watch(httplib::Client &Client, std::uint64_t After) {
-  std::string Path = "/v1/watch?after=" + std::to_string(After) +
-                     "&wait_ms=" + std::to_string(WatchWaitMs);
+platform_update watch(httplib::Client &Client, const read_request &Request) {
+  const membership::read_times &Times = Request.Times;
+  std::string Path = "/v1/watch?after=" + std::to_string(Request.After) +
+                     "&wait_ms=" + std::to_string(Times.Wait.count());
+  Client.set_read_timeout(Times.Wait + Times.AnswerMargin);
   auto Result = Client.Get(Path);
   platform_update Update;
   if (!Result || Result->status != 200) {
@@ -96,15 +103,15 @@
 platform_source watchSource(const std::string &Address,
                             const std::string &SourceIp) {
   auto Client = std::make_shared<httplib::Client>("http://" + Address);
-  Client->set_connection_timeout(ConnectTimeoutSeconds);
-  Client->set_read_timeout(ReadTimeoutSeconds);
+  Client->set_connection_timeout(ConnectTimeout);
   Client->set_keep_alive(true);
   Client->set_tcp_nodelay(true);
   if (!SourceIp.empty()) {
     Client->set_interface(SourceIp);
   }
-  return {[Client](std::uint64_t After) { return watch(*Client, After); },
-          [Client]() { Client->stop(); }, false};
+  return {
+      [Client](const read_request &Request) { return watch(*Client, Request); },
+      [Client]() { Client->stop(); }, false};
 }
 
 platform_reader::platform_reader(platform_source Source,
@@ -152,17 +159,20 @@
 }
 
 platform_update platform_reader::readOnce() {
-  std::uint64_t After = 0;
+  std::uniform_real_distribution<double> Draw;
+  read_request Request;
+  Request.Times = membership::planRead(TimingSettings, Timing, Draw(Random));
   {
     std::lock_guard<std::mutex> Lock(Mutex);
-    After = Cursor;
+    Request.After = Cursor;
   }
   platform_update Update;
   try {
-    Update = Source.Read(After);
+    Update = Source.Read(Request);
   } catch (const std::exception &Exception) {
-    framework::logEvent(framework::log_level::Error, "platform_read_failed",
-                        {{"after", After}, {"error", Exception.what()}});
+    framework::logEvent(
+        framework::log_level::Error, "platform_read_failed",
+        {{"after", Request.After}, {"error", Exception.what()}});
   }
   std::lock_guard<std::mutex> Lock(Mutex);
   // The cursor follows the platform's revision even when that has decreased.
@@ -176,12 +186,8 @@
 void platform_reader::readLoop() {
   while (awaitActive()) {
     platform_update Update = readOnce();
-    std::chrono::milliseconds Delay{0};
-    if (!Update.Reached) {
-      Delay = RetryDelay;
-    } else if (!Update.Entries.empty()) {
-      Delay = BatchDelay;
-    }
+    framework::milliseconds Delay =
+        membership::recordRead(TimingSettings, Timing, resultOf(Update));
     Deliver(std::move(Update));
     std::unique_lock<std::mutex> Lock(Mutex);
     StateChanged.wait_for(Lock, Delay, [this]() { return Stopping; });
--- a/src/node/platformreader.h
+++ b/src/node/platformreader.h
@@ -5,6 +5,7 @@
 
 #include "configuration/configurationtypes.h"
 #include "framework/enumnames.h"
+#include "membership/readtiming.h"
 
 #include <array>
 #include <atomic>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -60,11 +62,18 @@
   unsigned Calls = 1;
 };
 
+/// What a read of the platform asks for.
+struct read_request {
+  /// The revision after which entries are new.
+  std::uint64_t After = 0;
+  membership::read_times Times;
+};
+
 /// The calls by which a platform is read. Read is called on the reader's
 /// thread, Interrupt on another one.
 struct platform_source {
-  /// Waits for entries newer than revision \p After and returns them.
-  std::function<platform_update(std::uint64_t After)> Read;
+  /// Waits for new entries and returns them.
+  std::function<platform_update(const read_request &Request)> Read;
   /// Cancels a Read in progress when the process exits. Called repeatedly until
   /// Read has returned.
   std::function<void()> Interrupt;
@@ -122,6 +131,9 @@
   bool Finished = false;
   /// Revision after which the next read begins.
   std::uint64_t Cursor = 0;
+  membership::read_timing_settings TimingSettings;
+  membership::read_timing Timing;
+  std::minstd_rand Random{std::random_device{}()};
   std::thread Thread;
 };
 
--- a/src/node/tests/platformreader_tests.cpp
+++ b/src/node/tests/platformreader_tests.cpp
@@ -49,7 +49,7 @@
 TEST(PlatformReader, StopsWhileAReadIsConnecting) {
   slow_source Source;
   auto Reader = std::make_unique<platform_reader>(
-      platform_source{[&Source](std::uint64_t) { return Source.read(); },
+      platform_source{[&Source](const read_request &) { return Source.read(); },
                       [&Source]() { ++Source.Interruptions; }, true},
       [](const platform_update &) {});
   Reader->setActive(true, 0);
@@ -61,7 +61,7 @@
 
 TEST(PlatformReader, ExceptionOfAReadCountsAsUnreached) {
   std::atomic<unsigned> Unreached = 0;
-  platform_reader Reader({[](std::uint64_t) -> platform_update {
+  platform_reader Reader({[](const read_request &) -> platform_update {
                             throw std::length_error("malformed");
                           },
                           []() {}, true},
