A silent connection between nodes no longer hides a change

Cause: a push or an exchange on a connection that had become silent was lost, and the exchange marked the peer, which was well, as unresponsive for 3 s, so that pushes passed it over as well. Nodes without traffic ping nothing, so they notice only then. Change: a call that gets no answer on a connection that was open before is made once more on a new one.

--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -21,6 +21,11 @@
 /// Interval at which a node decides whether it is a reader.
 constexpr milliseconds ReaderChoiceInterval{500};
 
+/// Attempts of a call to a peer. The second one is made on a new connection if
+/// the first one got no answer on a connection that was open before: it may
+/// have become silent while the peer has not.
+constexpr unsigned MaxCallAttempts = 2;
+
 /// The state that the log shows for an accepted \p Entry.
 std::string_view entryState(const published_entry &Entry,
                             const configuration::store &Store) {
@@ -142,19 +147,33 @@
   }
 }
 
+task<bool> disseminator::pushOnce(kj::Own<peer_connection> Connection,
+                                  const std::vector<published_entry> &Entries,
+                                  std::uint8_t Hops) {
+  auto Request = KJ_ASSERT_NONNULL(Connection->Client).pushRequest();
+  writeEntries(Request.initEntries(static_cast<unsigned>(Entries.size())),
+               Entries);
+  Request.setHops(Hops);
+  Node.Metrics.Dissemination.Pushes->Increment();
+  auto Called =
+      co_await Peers.call(kj::mv(Connection), kj::mv(Request),
+                          readClocks().Monotonic + Settings.CallTimeout);
+  co_return Called.Value != nullptr;
+}
+
 task<void> disseminator::push(std::string Address,
                               std::vector<published_entry> Entries,
                               std::uint8_t Hops) {
-  connection_result Connected = co_await Peers.connect(Address);
-  KJ_IF_MAYBE (Connection, Connected.Value) {
-    auto Request = KJ_ASSERT_NONNULL((*Connection)->Client).pushRequest();
-    writeEntries(Request.initEntries(static_cast<unsigned>(Entries.size())),
-                 Entries);
-    Request.setHops(Hops);
-    Node.Metrics.Dissemination.Pushes->Increment();
-    // The next exchange repairs a lost push.
-    (void)co_await Peers.call(kj::mv(*Connection), kj::mv(Request),
-                              readClocks().Monotonic + Settings.CallTimeout);
+  // The next exchange repairs a lost push.
+  bool Settled = false;
+  for (unsigned I = 0; I < MaxCallAttempts && !Settled; ++I) {
+    connection_result Connected = co_await Peers.connect(Address);
+    Settled = true;
+    KJ_IF_MAYBE (Connection, Connected.Value) {
+      bool MayBeSilent = (*Connection)->EverAnswered;
+      bool Answered = co_await pushOnce(kj::mv(*Connection), Entries, Hops);
+      Settled = Answered || !MayBeSilent;
+    }
   }
 }
 
@@ -232,10 +251,16 @@
   // with it is started.
   membership::recordExchange(Unresponsive, Address, false,
                              readClocks().Monotonic);
-  connection_result Connected = co_await Peers.connect(Address);
   exchange_step Step;
-  KJ_IF_MAYBE (Connection, Connected.Value) {
-    Step = co_await exchangeUntilEqual(kj::mv(*Connection));
+  bool Settled = false;
+  for (unsigned I = 0; I < MaxCallAttempts && !Settled; ++I) {
+    connection_result Connected = co_await Peers.connect(Address);
+    Settled = true;
+    KJ_IF_MAYBE (Connection, Connected.Value) {
+      bool MayBeSilent = (*Connection)->EverAnswered;
+      Step = co_await exchangeUntilEqual(kj::mv(*Connection));
+      Settled = Step.Answered || !MayBeSilent;
+    }
   }
   membership::recordExchange(Unresponsive, Address, Step.Answered,
                              readClocks().Monotonic);
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -112,6 +112,11 @@
   /// Repeats exchangeOnce until the copies agree. Returns the last step.
   task<exchange_step> exchangeUntilEqual(kj::Own<peer_connection> Connection);
   bool mayStartExchange() const;
+  /// Sends one push on \p Connection. Returns whether it was answered.
+  task<bool>
+  pushOnce(kj::Own<peer_connection> Connection,
+           const std::vector<configuration::published_entry> &Entries,
+           std::uint8_t Hops);
   task<void> push(std::string Address,
                   std::vector<configuration::published_entry> Entries,
                   std::uint8_t Hops);
--- a/src/node/tests/configuration_tests.cpp
+++ b/src/node/tests/configuration_tests.cpp
@@ -154,3 +154,25 @@
   CHECK(eventually([&]() { return allHaveRevision(Fleet, Newest); }));
   CHECK(eventually([&]() { return Fleet.status(0)["view_stale"] == false; }));
 }
+
+// Guards against nodes that miss a change because the connections to their
+// peers, or those of their peers to them, are silent.
+TEST(Configuration, ChangeIsInForceInTimeAfterPeerConnectionsWentSilent) {
+  standins::fleet_spec Spec = ledgerFleet(8, milliseconds(1));
+  Spec.Zones = 1;
+  Spec.Relays = true;
+  fleet Fleet(Spec);
+  CHECK(Fleet.awaitReady());
+  for (int Round = 0; Round < 4; ++Round) {
+    for (standins::fleet_node &Node : Fleet.Nodes) {
+      Node.Relay->silence();
+    }
+    // The platform's `stableWindowMs` is 3 s. A change of 1.2 s after the
+    // silence is due 0.2 s after that.
+    std::this_thread::sleep_for(milliseconds(1'200));
+    std::uint64_t Newest = Fleet.Platform->publish("parameters/gamma/price",
+                                                   Round % 2 == 0 ? "{}" : "");
+    CHECK(eventually([&]() { return allHaveRevision(Fleet, Newest); },
+                     milliseconds(2'000)));
+  }
+}
