Candidates take over from readers that do not read (CONFIG)

Cause: the readers of a zone are a function of its list and the minute. A reader that is frozen, dark or turned away by the store stays one, and no other node reads in its place; nodes that receive no updates at all read after 10 to 20 s, but exchanges among those that live count as updates. Ruled out: silent connections (mended before this), lost pushes (no node had the version). Change: the candidates after the readers ask those before them each 0.3 s (ping now answers whether the node reads), and read in the place of one that has not confirmed it for 0.9 s. Up to twelve candidates a zone, so the cost does not grow with the zone. The duty has a file of its own, node/readerduty, and left dissemination.

--- a/src/membership/readers.cpp
+++ b/src/membership/readers.cpp
@@ -15,19 +15,78 @@
                     Settings.MaxReadersPerZone);
 }
 
-bool isReader(const reader_settings &Settings, std::size_t ReaderCount,
-              std::string_view Self, const std::vector<std::string> &Members,
-              framework::wall_time Now) {
+std::vector<std::string>
+orderCandidates(const reader_settings &Settings,
+                const std::vector<std::string> &Members, std::string_view Self,
+                framework::wall_time Now) {
   auto Period = static_cast<std::uint64_t>(Now.time_since_epoch() /
                                            Settings.RotationPeriod);
-  std::uint64_t SelfWeight = framework::hashText(Self, Period);
-  std::size_t HigherWeights = 0;
+  std::vector<std::pair<std::uint64_t, std::string_view>> Weighted;
+  Weighted.reserve(Members.size() + 1);
+  Weighted.emplace_back(framework::hashText(Self, Period), Self);
   for (const std::string &Member : Members) {
-    if (Member != Self && framework::hashText(Member, Period) > SelfWeight) {
-      ++HigherWeights;
+    if (Member != Self) {
+      Weighted.emplace_back(framework::hashText(Member, Period), Member);
     }
   }
-  return HigherWeights < ReaderCount;
+  std::size_t Count = std::min(Settings.MaxCandidates, Weighted.size());
+  std::partial_sort(Weighted.begin(),
+                    Weighted.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Weighted.end(), std::greater<>());
+  std::vector<std::string> Candidates;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Candidates.emplace_back(Weighted[I].second);
+  }
+  return Candidates;
+}
+
+bool isReading(const reader_health &Health, const std::string &Candidate,
+               framework::monotonic_time Now) {
+  auto Found = Health.LastConfirmed.find(Candidate);
+  return Found == Health.LastConfirmed.end() ||
+         Now - Found->second <= Health.MaxSilence;
+}
+
+bool isReader(const std::vector<std::string> &Candidates,
+              std::size_t ReaderCount, std::string_view Self,
+              const reader_health &Health, framework::monotonic_time Now) {
+  std::size_t ReadersBefore = 0;
+  for (const std::string &Candidate : Candidates) {
+    if (Candidate == Self) {
+      return ReadersBefore < ReaderCount;
+    }
+    ReadersBefore += isReading(Health, Candidate, Now) ? 1 : 0;
+  }
+  return false;
+}
+
+std::vector<std::string> listWatched(const std::vector<std::string> &Candidates,
+                                     std::size_t ReaderCount,
+                                     std::string_view Self,
+                                     reader_health &Health,
+                                     framework::monotonic_time Now) {
+  auto SelfPosition = std::find(Candidates.begin(), Candidates.end(), Self);
+  auto FirstReaders =
+      std::min(Candidates.size(), std::max<std::size_t>(ReaderCount, 1));
+  std::vector<std::string> Watched;
+  if (SelfPosition != Candidates.end() &&
+      SelfPosition - Candidates.begin() >=
+          static_cast<std::ptrdiff_t>(FirstReaders)) {
+    std::size_t Readers = 0;
+    for (auto It = Candidates.begin();
+         It != SelfPosition && Readers < ReaderCount; ++It) {
+      Watched.push_back(*It);
+      Readers += isReading(Health, *It, Now) ? 1 : 0;
+    }
+  }
+  std::erase_if(Health.LastConfirmed, [&Watched](const auto &Entry) {
+    return std::find(Watched.begin(), Watched.end(), Entry.first) ==
+           Watched.end();
+  });
+  for (const std::string &Candidate : Watched) {
+    Health.LastConfirmed.try_emplace(Candidate, Now);
+  }
+  return Watched;
 }
 
 std::size_t countZones(const configuration::catalog &Catalog) {
--- a/src/membership/tests/readers_tests.cpp
+++ b/src/membership/tests/readers_tests.cpp
@@ -28,8 +28,9 @@
                                 std::int64_t Now) {
   std::set<std::string> Readers;
   for (const std::string &Member : Members) {
-    if (isReader({}, ReaderCount, Member, Members,
-                 wall_time(milliseconds(Now)))) {
+    std::vector<std::string> Candidates =
+        orderCandidates({}, Members, Member, wall_time(milliseconds(Now)));
+    if (isReader(Candidates, ReaderCount, Member, {}, {})) {
       Readers.insert(Member);
     }
   }
@@ -78,6 +79,39 @@
   LONGS_EQUAL(2, readersAt({"a", "b"}, 0).size());
 }
 
+TEST(Readers, NextCandidateTakesOverFromASilentReader) {
+  const std::vector<std::string> Candidates{"a", "b", "c", "d", "e"};
+  reader_health Health;
+  monotonic_time Start(milliseconds(1'000));
+  LONGS_EQUAL(2, listWatched(Candidates, 2, "d", Health, Start).size());
+  monotonic_time Later = Start + Health.MaxSilence + milliseconds(1);
+  Health.LastConfirmed["b"] = Later;
+  // a is silent, so c is asked as well, and d waits for its confirmation.
+  LONGS_EQUAL(3, listWatched(Candidates, 2, "d", Health, Later).size());
+  CHECK_FALSE(isReader(Candidates, 2, "d", Health, Later));
+  monotonic_time End = Later + Health.MaxSilence + milliseconds(1);
+  Health.LastConfirmed["b"] = End;
+  CHECK(isReader(Candidates, 2, "d", Health, End));
+  CHECK(isReader(Candidates, 2, "c", Health, End));
+  CHECK_FALSE(isReader(Candidates, 2, "e", Health, Later));
+  Health.LastConfirmed["a"] = End;
+  CHECK_FALSE(isReader(Candidates, 2, "d", Health, End));
+  LONGS_EQUAL(2, listWatched(Candidates, 2, "d", Health, End).size());
+  LONGS_EQUAL(2, Health.LastConfirmed.size());
+}
+
+TEST(Readers, NodeThatKnowsNoMembersReads) {
+  CHECK(isReader(orderCandidates({}, {}, "a", {}), 1, "a", {}, {}));
+}
+
+TEST(Readers, OnlyCandidatesThatMayTakeOverAskReaders) {
+  const std::vector<std::string> Candidates{"a", "b", "c"};
+  reader_health Health;
+  CHECK(listWatched(Candidates, 2, "b", Health, {}).empty());
+  CHECK(listWatched(Candidates, 2, "unlisted", Health, {}).empty());
+  LONGS_EQUAL(2, listWatched(Candidates, 2, "c", Health, {}).size());
+}
+
 TEST(Readers, PeersAreDistinctAndExcludeSelf) {
   std::vector<std::string> Picked =
       pickPeers({"a", "b", "c"}, "b", {}, {0.0, 0.1, 0.4, 0.5, 0.99}, {});
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -18,9 +18,6 @@
 using framework::monotonic_time;
 using framework::readClocks;
 
-/// Interval at which a node decides whether it is a reader.
-constexpr milliseconds ReaderChoiceInterval{500};
-
 /// Attempts of a call to a peer. The second one is made on a new connection if
 /// the first one got no answer on a connection that was open before: it may
 /// have become silent while the peer has not.
@@ -71,8 +68,8 @@
 
 disseminator::disseminator(node_runtime &Node, peer_pool &Peers,
                            mailbox &Mailbox, platform_source Source)
-    : Node(Node), Peers(Peers), StartTime(readClocks().Monotonic),
-      LastUpdate(StartTime) {
+    : Node(Node), Peers(Peers), Duty(Node, Peers),
+      StartTime(readClocks().Monotonic), LastUpdate(StartTime) {
   Linearizable = Source.Linearizable;
   if (Source.Read) {
     Reader = std::make_unique<platform_reader>(
@@ -122,8 +119,7 @@
 void disseminator::updateNodeLists() {
   ZoneNodes = membership::listNodes(Node.Store.Catalog, Node.Settings.Zone);
   AllNodes = membership::listNodes(Node.Store.Catalog, "");
-  ReaderCount = membership::readersPerZone(
-      Node.ReaderSettings, membership::countZones(Node.Store.Catalog));
+  Duty.updateMembers();
 }
 
 void disseminator::receivePush(const std::vector<published_entry> &Entries,
@@ -364,6 +360,7 @@
 
 void disseminator::applyPlatformUpdate(const platform_update &Update) {
   Node.Metrics.Dissemination.PlatformCalls->Increment(Update.Calls);
+  LastReadSucceeded = Update.Reached;
   if (!Update.Reached) {
     auto Reason = static_cast<std::size_t>(Update.Failure);
     Node.Metrics.Dissemination.PlatformFailures[Reason]->Increment();
@@ -410,13 +407,7 @@
   if (Reader == nullptr) {
     return;
   }
-  if (Now.Monotonic < NextReaderChoice) {
-    return;
-  }
-  NextReaderChoice = Now.Monotonic + ReaderChoiceInterval;
-  bool Chosen =
-      membership::isReader(Node.ReaderSettings, ReaderCount,
-                           Node.Settings.RpcAddress, ZoneNodes, Now.Wall);
+  bool Chosen = Duty.isReader(Now);
   // A node that receives no updates reads the platform itself. The delay before
   // that differs between nodes, so that the nodes of a partitioned zone do not
   // all call the platform at once.
@@ -443,18 +434,6 @@
   }
 }
 
-std::vector<std::string>
-disseminator::listReaders(framework::wall_time Now) const {
-  std::vector<std::string> Readers;
-  for (const std::string &Member : ZoneNodes) {
-    if (membership::isReader(Node.ReaderSettings, ReaderCount, Member,
-                             ZoneNodes, Now)) {
-      Readers.push_back(Member);
-    }
-  }
-  return Readers;
-}
-
 void disseminator::resumeAfterPause(framework::time_now Now) {
   Node.Condition.ViewStale = true;
   execution::refuseIdsIssuedUntil(Node.Home, Now.Wall);
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -11,6 +11,7 @@
 #include "node/mailbox.h"
 #include "node/peers.h"
 #include "node/platformreader.h"
+#include "node/readerduty.h"
 
 #include <memory>
 #include <string>
@@ -83,8 +84,12 @@
   void resumeAfterPause(framework::time_now Now);
 
   bool isReading() const { return Reading; }
+  /// Whether this node reads the platform and was answered the last time.
+  bool readsSuccessfully() const { return Reading && LastReadSucceeded; }
   /// The nodes of this zone that are selected as readers at \p Now.
-  std::vector<std::string> listReaders(framework::wall_time Now) const;
+  std::vector<std::string> listReaders(framework::wall_time Now) const {
+    return Duty.listReaders(Now);
+  }
   /// Time since the last push, exchange reply or new entry from the platform.
   framework::microseconds updateAge(framework::monotonic_time Now) const {
     return Now - LastUpdate;
@@ -150,6 +155,8 @@
   bool Linearizable = false;
   bool Reading = false;
   bool PlatformAnswered = false;
+  /// Whether the platform answered the last read.
+  bool LastReadSucceeded = false;
   bool ReadyPeerAnswered = false;
   std::size_t NextSeed = 0;
   membership::unresponsive_peers Unresponsive;
@@ -160,9 +167,7 @@
   /// zones. Both include this node.
   std::vector<std::string> ZoneNodes;
   std::vector<std::string> AllNodes;
-  /// Number of readers of each zone.
-  std::size_t ReaderCount = 1;
-  framework::monotonic_time NextReaderChoice;
+  reader_duty Duty;
   framework::monotonic_time StartTime;
   framework::monotonic_time LastUpdate;
 };
--- a/src/node/rpcservice.cpp
+++ b/src/node/rpcservice.cpp
@@ -104,6 +104,9 @@
   return kj::READY_NOW;
 }
 
-kj::Promise<void> rpc_service::ping(PingContext) { return kj::READY_NOW; }
+kj::Promise<void> rpc_service::ping(PingContext Context) {
+  Context.getResults().setNotReading(!Dissemination.readsSuccessfully());
+  return kj::READY_NOW;
+}
 
 } // namespace figplank::node
--- a/src/node/tests/configuration_tests.cpp
+++ b/src/node/tests/configuration_tests.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <set>
 #include <thread>
 
 using namespace figplank;
@@ -15,9 +16,14 @@
 
 using std::chrono::milliseconds;
 
-/// Whether every node reports \p Revision as its highest one.
-bool allHaveRevision(const fleet &Fleet, std::uint64_t Revision) {
+/// Whether every node, but those in \p Except, reports \p Revision as its
+/// highest one.
+bool allHaveRevision(const fleet &Fleet, std::uint64_t Revision,
+                     const std::set<std::size_t> &Except = {}) {
   for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I) {
+    if (Except.contains(I)) {
+      continue;
+    }
     nlohmann::json Status = Fleet.status(I);
     if (!Status.is_object() || Status["revision"] != Revision) {
       return false;
@@ -26,6 +32,17 @@
   return true;
 }
 
+/// The nodes that read the platform now.
+std::set<std::size_t> readingNodes(const fleet &Fleet) {
+  std::set<std::size_t> Reading;
+  for (std::size_t I = 0; I < Fleet.Nodes.size(); ++I) {
+    if (Fleet.status(I)["reading_platform"] == true) {
+      Reading.insert(I);
+    }
+  }
+  return Reading;
+}
+
 } // namespace
 
 TEST_GROUP(Configuration){};
@@ -176,3 +193,28 @@
                      milliseconds(2'000)));
   }
 }
+
+// Guards against changes that no live node reads, as only the selected readers
+// do and all of them have stopped (CONFIG).
+TEST(Configuration, ChangeIsInForceInTimeWhileAllReadersAreStopped) {
+  standins::fleet_spec Spec = ledgerFleet(8, milliseconds(1));
+  Spec.Zones = 1;
+  fleet Fleet(Spec);
+  CHECK(Fleet.awaitReady());
+  CHECK(eventually([&]() { return readingNodes(Fleet).size() == 3; }));
+  // The last watch of a node that read only at its start may still wait.
+  std::this_thread::sleep_for(milliseconds(2'500));
+  std::set<std::size_t> Stopped = readingNodes(Fleet);
+  for (std::size_t I : Stopped) {
+    Fleet.signalNode(I, SIGSTOP);
+  }
+  std::uint64_t Newest =
+      Fleet.Platform->publish("parameters/gamma/price", "{}");
+  CHECK(eventually([&]() { return allHaveRevision(Fleet, Newest, Stopped); },
+                   milliseconds(2'000)));
+  for (std::size_t I : Stopped) {
+    Fleet.signalNode(I, SIGCONT);
+  }
+  // Once the selected readers are back, the others stop reading.
+  CHECK(eventually([&]() { return readingNodes(Fleet).size() == 3; }));
+}
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -119,6 +119,7 @@
   # Notifies the other nodes of the service of backend server crashes and of the
   # addresses of nodes that are draining.
 
-  ping @5 () -> ();
-  # Checks that the connection carries data in both directions.
+  ping @5 () -> (notReading :Bool);
+  # Checks that the connection carries data in both directions. notReading says
+  # that the node does not read the platform, or that its last read failed.
 }
--- a/src/rpc/node.capnp.c++
+++ b/src/rpc/node.capnp.c++
@@ -1798,29 +1798,48 @@
   0, 0, nullptr, nullptr, nullptr, { &s_bd8c95746a249c73, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<16> b_b2146e055cb768dd = {
+static const ::capnp::_::AlignedData<33> b_b2146e055cb768dd = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     221, 104, 183,  92,   5, 110,  20, 178,
-     16,   0,   0,   0,   1,   0,   0,   0,
+     16,   0,   0,   0,   1,   0,   1,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   7,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      21,   0,   0,   0, 234,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  63,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     110, 111, 100, 101,  46,  99,  97, 112,
     110, 112,  58,  78, 111, 100, 101,  46,
     112, 105, 110, 103,  36,  82, 101, 115,
-    117, 108, 116, 115,   0,   0,   0,   0, }
+    117, 108, 116, 115,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   1,   0,
+     24,   0,   0,   0,   2,   0,   1,   0,
+    110, 111, 116,  82, 101,  97, 100, 105,
+    110, 103,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_b2146e055cb768dd = b_b2146e055cb768dd.words;
 #if !CAPNP_LITE
+static const uint16_t m_b2146e055cb768dd[] = {0};
+static const uint16_t i_b2146e055cb768dd[] = {0};
 const ::capnp::_::RawSchema s_b2146e055cb768dd = {
-  0xb2146e055cb768dd, b_b2146e055cb768dd.words, 16, nullptr, nullptr,
-  0, 0, nullptr, nullptr, nullptr, { &s_b2146e055cb768dd, nullptr, nullptr, 0, 0, nullptr }
+  0xb2146e055cb768dd, b_b2146e055cb768dd.words, 33, nullptr, m_b2146e055cb768dd,
+  0, 1, i_b2146e055cb768dd, nullptr, nullptr, { &s_b2146e055cb768dd, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 }  // namespace schemas
--- a/src/rpc/node.capnp.h
+++ b/src/rpc/node.capnp.h
@@ -369,7 +369,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b2146e055cb768dd, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b2146e055cb768dd, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2376,6 +2376,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getNotReading() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2404,6 +2406,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getNotReading();
+  inline void setNotReading(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4225,6 +4230,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Node::PingResults::Reader::getNotReading() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::PingResults::Builder::getNotReading() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::PingResults::Builder::setNotReading(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
