An upstream that was slow once is measured again

Cause: a caller compares measured latencies, and where the other upstreams have room it never chose one that was slow for a moment again, so nothing new was measured. Change: without a measurement the ratio fades, by half for each second after the first.

--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -164,8 +164,9 @@
     Sent.ExtraTries = retry::takeChildBudget(Budget).ExtraTries;
     attempt_result LastAttempt = co_await sendToUpstream(Address, kj::mv(Sent));
     if (LastAttempt.Answer.Outcome == outcome::Completed) {
+      monotonic_time End = readClocks().Monotonic;
       routing::recordLatency(Node.Upstreams, Address, Request.Template,
-                             readClocks().Monotonic - Now);
+                             End - Now, End);
     }
     Node.Metrics.Timing.Hop->Observe(
         framework::inSeconds(readClocks().Monotonic - Now));
--- a/src/routing/tests/upstreams_tests.cpp
+++ b/src/routing/tests/upstreams_tests.cpp
@@ -139,10 +139,10 @@
 TEST(Upstreams, FastUpstreamElsewhereIsPreferredToSlowLocalOnes) {
   for (int I = 0; I < 60; ++I) {
     for (const char *Slow : {"a", "b"}) {
-      recordLatency(Table, Slow, "read", milliseconds(200));
+      recordLatency(Table, Slow, "read", milliseconds(200), at(0));
     }
     for (const char *Fast : {"c", "d"}) {
-      recordLatency(Table, Fast, "read", milliseconds(50));
+      recordLatency(Table, Fast, "read", milliseconds(50), at(0));
     }
   }
   for (double Draw : {0.0, 0.3, 0.6, 0.99}) {
@@ -153,6 +153,25 @@
   }
 }
 
+// Guards against an upstream that is starved for good after a slow moment.
+TEST(Upstreams, SlowUpstreamIsMeasuredAgainAfterATimeWithoutRequests) {
+  for (int I = 0; I < 60; ++I) {
+    recordLatency(Table, "a", "read", milliseconds(200), at(1'000));
+    recordLatency(Table, "b", "read", milliseconds(50), at(1'000));
+  }
+  recordStart(Table, "b");
+  auto ChosenAt = [this](int Ms) {
+    for (int I = 0; I < 60; ++I) {
+      recordLatency(Table, "b", "read", milliseconds(50), at(Ms));
+    }
+    const candidate *Chosen =
+        chooseUpstream(Table, Candidates, "z1", {}, {0.0, 0.0}, at(Ms));
+    return Chosen->Address;
+  };
+  STRCMP_EQUAL("b", ChosenAt(1'900).c_str());
+  STRCMP_EQUAL("a", ChosenAt(15'000).c_str());
+}
+
 TEST(Upstreams, EarlierIncarnationAtTheSameAddressIsNoCandidate) {
   configuration::catalog Catalog;
   configuration::instance Old;
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -1,6 +1,7 @@
 #include "routing/upstreams.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace figplank::routing {
 namespace {
@@ -46,13 +47,23 @@
          FailurePenalty * View->Load.FailureRate;
 }
 
+/// The upstream's LatencyRatio, faded for the time without a measurement.
+double latencyRatioAt(const routing_settings &Settings,
+                      const upstream_view &View, monotonic_time Now) {
+  double Periods = framework::inSeconds(Now - View.LatencyMeasuredAt) /
+                   framework::inSeconds(Settings.LatencyFadeTime);
+  return 1.0 +
+         (View.LatencyRatio - 1.0) * std::exp2(-std::max(0.0, Periods - 1.0));
+}
+
 /// Expected latency as a multiple of the baseline. Queueing delay is added for
 /// the load above SpilloverLoad, where slots begin to run out.
 double costOf(const upstream_table &Table, std::string_view Address,
               monotonic_time Now) {
   constexpr double DelayPerLoad = 3.0;
   const upstream_view *View = findView(Table, Address);
-  double LatencyRatio = View == nullptr ? 1.0 : View->LatencyRatio;
+  double LatencyRatio =
+      View == nullptr ? 1.0 : latencyRatioAt(Table.Settings, *View, Now);
   double ExcessLoad =
       std::max(0.0, loadOf(Table, Address, Now) - Table.Settings.SpilloverLoad);
   return LatencyRatio * (1.0 + DelayPerLoad * ExcessLoad);
@@ -223,7 +234,8 @@
 }
 
 void recordLatency(upstream_table &Table, std::string_view Address,
-                   std::string_view Kind, framework::microseconds Latency) {
+                   std::string_view Kind, framework::microseconds Latency,
+                   monotonic_time Now) {
   constexpr double MicrosecondsPerMs = 1000.0;
   constexpr double MinMs = 0.1;
   constexpr double MaxRatio = 8.0;
@@ -237,6 +249,8 @@
   Baseline->second +=
       Table.Settings.BaselineSmoothing * (Ms - Baseline->second);
   upstream_view &View = findOrAddView(Table, Address);
+  View.LatencyRatio = latencyRatioAt(Table.Settings, View, Now);
+  View.LatencyMeasuredAt = Now;
   View.LatencyRatio +=
       Table.Settings.LatencyRatioSmoothing * (Ratio - View.LatencyRatio);
 }
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -46,6 +46,8 @@
   /// Moving average of the ratio of this upstream's latency to the baseline of
   /// the same kind of request, both as measured by this node.
   double LatencyRatio = 1.0;
+  /// When LatencyRatio was last updated.
+  framework::monotonic_time LatencyMeasuredAt;
 };
 
 struct routing_settings {
@@ -72,6 +74,10 @@
   /// BaselineMs.
   double LatencyRatioSmoothing = 0.1;
   double BaselineSmoothing = 0.02;
+  /// Time without a new measurement after which a LatencyRatio begins to fade,
+  /// and in which it then halves its distance from 1. Otherwise an upstream
+  /// that was slow once would never be measured again while others have room.
+  framework::milliseconds LatencyFadeTime{1'000};
   /// Fraction of the candidates that must not be avoided. With fewer, this
   /// node's observations are taken to be wrong and no candidate is avoided.
   double MinHealthyFraction = 0.5;
@@ -137,7 +143,8 @@
 
 /// Records the latency of an answer to a request of kind \p Kind.
 void recordLatency(upstream_table &Table, std::string_view Address,
-                   std::string_view Kind, framework::microseconds Latency);
+                   std::string_view Kind, framework::microseconds Latency,
+                   framework::monotonic_time Now);
 
 /// Records the end of a request without an answer.
 void recordFailure(upstream_table &Table, std::string_view Address,
