--- a/src/admission/workqueue.cpp
+++ b/src/admission/workqueue.cpp
@@ -193,6 +193,14 @@
   return false;
 }
 
+std::size_t countAhead(const work_queue &Queue, std::uint8_t Rank) {
+  std::size_t Ahead = 0;
+  for (std::size_t I = 0; I <= Rank && I < Queue.Ranks.size(); ++I) {
+    Ahead += Queue.Ranks[I].Size;
+  }
+  return Ahead;
+}
+
 bool canMeetDeadline(const work_queue &Queue, std::uint8_t Rank,
                      framework::microseconds ServiceTime, double Limit,
                      monotonic_time Deadline, monotonic_time Now) {
--- a/src/admission/workqueue.h
+++ b/src/admission/workqueue.h
@@ -99,6 +99,9 @@
 /// disconnected. Returns whether it was in the queue.
 bool removeTicket(work_queue &Queue, std::uint64_t Ticket);
 
+/// Number of waiting requests of \p Rank and more urgent ones.
+std::size_t countAhead(const work_queue &Queue, std::uint8_t Rank);
+
 /// Whether a request of \p Rank that arrives at \p Now can meet \p Deadline if
 /// all waiting requests of this rank and more urgent ones are served first,
 /// with \p Limit requests running concurrently.
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace figplank::node {
@@ -53,6 +54,8 @@
   framework::milliseconds RetryAfter{0};
   /// The backend server announced that it is draining.
   bool Draining = false;
+  /// Requests per second that the backend server takes, if it names a limit.
+  std::optional<double> NamedLimit;
   /// The server keeps the connection open for another request.
   bool KeepAlive = true;
 };
--- a/src/node/backendqueue.cpp
+++ b/src/node/backendqueue.cpp
@@ -33,10 +33,11 @@
 task<refusal_reason> backend_queue::awaitPermit(admission_permit &Permit,
                                                 const work_request &Request) {
   bool Unlimited = Node.Settings.Admission == admission_mode::None;
+  monotonic_time Now = readClocks().Monotonic;
   if (Unlimited || (Node.Queue.Size == 0 &&
-                    admission::hasFreeSlot(Node.Limit, Request.Rank))) {
-    admission::acquireSlot(Node.Limit);
-    Permit.Granted = true;
+                    admission::hasFreeSlot(Node.Limit, Request.Rank) &&
+                    admission::hasToken(Node.RateLimit, Now))) {
+    grant(Permit, Now);
     recordWait(Request.Rank, framework::microseconds(0));
     co_return refusal_reason::None;
   }
@@ -44,7 +45,6 @@
   Permit.Fulfiller = kj::mv(Pair.fulfiller);
   Permit.Queued = true;
   Permits[Permit.Ticket] = &Permit;
-  monotonic_time Now = readClocks().Monotonic;
   auto Dropped = admission::enqueue(
       Node.Queue, {Permit.Ticket, Request.Rank, Request.Organisation,
                    Request.Depth, Now, Request.Deadline,
@@ -53,7 +53,9 @@
     drop(*Dropped);
   }
   grantFreeSlots();
-  refusal_reason TimeoutReason = refusal_reason::DeadlineUnreachable;
+  refusal_reason TimeoutReason = Node.RateLimit.PerSecond
+                                     ? refusal_reason::ServerLimit
+                                     : refusal_reason::DeadlineUnreachable;
   kj::Promise<refusal_reason> Timeout =
       Node.Timer.afterDelay(toDuration(maxQueueWait(Request, Now)))
           .then([TimeoutReason]() { return TimeoutReason; });
@@ -82,6 +84,12 @@
   return LimitedByObjective ? std::min(Left, ObjectiveWait) : Left;
 }
 
+void backend_queue::grant(admission_permit &Permit, monotonic_time Now) {
+  admission::acquireSlot(Node.Limit);
+  admission::takeToken(Node.RateLimit, Now);
+  Permit.Granted = true;
+}
+
 std::optional<std::uint8_t> backend_queue::leastUrgentRankWithFreeSlot() const {
   constexpr std::uint8_t LeastUrgent = configuration::RankCount - 1;
   if (admission::hasFreeSlot(Node.Limit, LeastUrgent)) {
@@ -114,13 +122,13 @@
 
 void backend_queue::grantFreeSlots() {
   while (Node.Queue.Size > 0) {
+    monotonic_time Now = readClocks().Monotonic;
     auto LeastUrgentRank = leastUrgentRankWithFreeSlot();
-    if (!LeastUrgentRank) {
+    if (!LeastUrgentRank || !admission::hasToken(Node.RateLimit, Now)) {
       return;
     }
-    admission::dequeue_result Found =
-        admission::dequeue(Node.Queue, Node.MinimumShares, *LeastUrgentRank,
-                           readClocks().Monotonic);
+    admission::dequeue_result Found = admission::dequeue(
+        Node.Queue, Node.MinimumShares, *LeastUrgentRank, Now);
     for (const admission::dropped_work &Dropped : Found.Dropped) {
       drop(Dropped);
     }
@@ -128,8 +136,7 @@
       return;
     }
     admission_permit *Permit = Permits[Found.Next->Ticket];
-    admission::acquireSlot(Node.Limit);
-    Permit->Granted = true;
+    grant(*Permit, Now);
     Permit->Fulfiller->fulfill(refusal_reason::None);
   }
 }
--- a/src/node/backendqueue.h
+++ b/src/node/backendqueue.h
@@ -64,6 +64,8 @@
   framework::microseconds maxQueueWait(const work_request &Request,
                                        framework::monotonic_time Now) const;
   void drop(const admission::dropped_work &Dropped);
+  /// Gives \p Permit a free slot and counts its request as sent.
+  void grant(admission_permit &Permit, framework::monotonic_time Now);
   void grantFreeSlots();
   void recordWait(std::uint8_t Rank, framework::microseconds Waited);
   /// Delay of the standing queue: the highest of the ranks' minimum waits in
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -165,6 +165,9 @@
       addGauge(To, "figplank_in_flight", "Requests at the backend server");
   Metrics.Limit =
       addGauge(To, "figplank_limit", "Limit of concurrent requests");
+  Metrics.ServerLimit = addGauge(
+      To, "figplank_server_limit",
+      "Requests per second that the backend server names; 0 without a limit");
   Metrics.Queued = addGauge(To, "figplank_queued",
                             "Requests that wait for the backend server");
   Metrics.Revision =
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -84,6 +84,7 @@
   dissemination_counters Dissemination;
   prometheus::Gauge *InFlight = nullptr;
   prometheus::Gauge *Limit = nullptr;
+  prometheus::Gauge *ServerLimit = nullptr;
   prometheus::Gauge *Queued = nullptr;
   prometheus::Gauge *Revision = nullptr;
   prometheus::Gauge *RoutesVersion = nullptr;
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -68,7 +68,7 @@
 
 routing::reported_load localLoad(const node_runtime &Node) {
   routing::reported_load Load;
-  Load.Limit = Node.Limit.Limit;
+  Load.Limit = admission::concurrencyUnder(Node.RateLimit, Node.Limit.Limit);
   Load.InFlight = Node.Limit.InFlight;
   Load.Queued = static_cast<std::uint32_t>(Node.Queue.Size);
   Load.FailureRate = Node.Limit.FailureRate;
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -5,6 +5,7 @@
 
 #include "admission/chainshares.h"
 #include "admission/concurrencylimit.h"
+#include "admission/ratelimit.h"
 #include "admission/sharecontroller.h"
 #include "admission/workqueue.h"
 #include "configuration/store.h"
@@ -56,6 +57,7 @@
   configuration::store Store;
   execution::home_table Home;
   admission::concurrency_limit Limit;
+  admission::rate_limit RateLimit;
   admission::share_controller Shares;
   /// Shares that answers to this node's calls reported, by called template.
   admission::chain_shares ChainShares;
@@ -67,6 +69,8 @@
   /// configuration lists instances with their backend servers. Empty while
   /// unknown.
   std::string BackendInstance;
+  /// Its start in milliseconds since the Unix epoch; 0 if not published.
+  std::uint64_t BackendStartedMs = 0;
   /// When this node first learnt that its backend server is shutting down or no
   /// longer listed.
   std::optional<framework::monotonic_time> BackendLeavingSince;
--- a/src/node/servicesettings.cpp
+++ b/src/node/servicesettings.cpp
@@ -45,8 +45,11 @@
   if (Newest == nullptr) {
     return;
   }
-  if (Newest->Name != Node.BackendInstance) {
+  if (Newest->Name != Node.BackendInstance ||
+      Newest->StartedMs != Node.BackendStartedMs) {
     Node.BackendInstance = Newest->Name;
+    Node.BackendStartedMs = Newest->StartedMs;
+    admission::clearLimit(Node.RateLimit);
     logEvent(log_level::Info, "backend_instance",
              {{"instance", Newest->Name}, {"slots", Newest->Slots}});
   }
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -25,6 +25,11 @@
 /// Time for which a leaving backend server still receives requests, since some
 /// callers do not know yet that it is leaving.
 constexpr milliseconds LeavingGracePeriod{300};
+/// Time that a root request, and a call, waits at most for the backend server's
+/// limit on requests per second, rather than go to another upstream. A call
+/// that finds no upstream wastes the work of its chain.
+constexpr milliseconds MaxRootLimitWait{20};
+constexpr milliseconds MaxCallLimitWait{100};
 /// Whether a request refused for \p Reason may succeed at another upstream.
 bool isRetryableElsewhere(refusal_reason Reason) {
   switch (Reason) {
@@ -36,6 +41,7 @@
   case refusal_reason::ConnectionLost:
   case refusal_reason::QueueFull:
   case refusal_reason::WrongInstance:
+  case refusal_reason::ServerLimit:
     return true;
   default:
     return false;
@@ -190,7 +196,13 @@
   bool InTime =
       admission::canMeetDeadline(Node.Queue, Request.Rank, Expected,
                                  Node.Limit.Limit, Request.Deadline, Now);
-  return InTime ? refusal_reason::None : refusal_reason::DeadlineUnreachable;
+  if (!InTime) {
+    return refusal_reason::DeadlineUnreachable;
+  }
+  std::size_t Ahead = admission::countAhead(Node.Queue, Request.Rank);
+  bool OverLimit = admission::waitForToken(Node.RateLimit, Ahead, Now) >
+                   (Request.Depth == 0 ? MaxRootLimitWait : MaxCallLimitWait);
+  return OverLimit ? refusal_reason::ServerLimit : refusal_reason::None;
 }
 
 // Execution at the backend server.
@@ -235,8 +247,9 @@
   } else {
     bool Ran = Received.Result == backend_result::Answered;
     if (Ran) {
-      admission::recordServiceTime(ServiceTimes, Request.Template,
-                                   readClocks().Monotonic - Start);
+      framework::microseconds RunTime = readClocks().Monotonic - Start;
+      admission::recordServiceTime(ServiceTimes, Request.Template, RunTime);
+      admission::recordRunTime(Node.RateLimit, RunTime);
     }
     Answer = co_await evaluateBackendAnswer(Permit, std::move(Received),
                                             Context->ChildFailed,
@@ -292,6 +305,11 @@
     logEvent(log_level::Info, "backend_draining", {});
     Node.Tasks.add(Notifier.announceDrain());
   }
+  bool HasAnswered = Received.Result == backend_result::Answered ||
+                     Received.Result == backend_result::Shed;
+  if (HasAnswered) {
+    recordNamedLimit(Received.NamedLimit);
+  }
   bool Crashed = false;
   switch (Received.Result) {
   case backend_result::Answered:
@@ -340,6 +358,18 @@
   co_return kj::mv(Answer);
 }
 
+void upstream_service::recordNamedLimit(std::optional<double> PerSecond) {
+  bool WasLimited = Node.RateLimit.PerSecond.has_value();
+  admission::recordNamedLimit(Node.RateLimit, PerSecond,
+                              readClocks().Monotonic);
+  if (Node.RateLimit.PerSecond.has_value() != WasLimited) {
+    logEvent(log_level::Info,
+             WasLimited ? "server_limit_ended" : "server_limit_named",
+             {{"per_second", Node.RateLimit.PerSecond.value_or(0.0)}});
+  }
+  Node.Metrics.ServerLimit->Set(Node.RateLimit.PerSecond.value_or(0.0));
+}
+
 void upstream_service::tick(monotonic_time Now) {
   if (isBackendLeaving(Now)) {
     Queue.dropAll(refusal_reason::Draining);
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -48,6 +48,9 @@
                                           backend_answer Received,
                                           bool ChildFailed, bool Idempotent,
                                           retry::fingerprint Fingerprint);
+  /// Records the limit that an answer of the local backend server names, if it
+  /// names one.
+  void recordNamedLimit(std::optional<double> PerSecond);
   /// Whether the local backend server is leaving and the grace period for
   /// callers that do not know this yet is over.
   bool isBackendLeaving(framework::monotonic_time Now) const;
