--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -54,6 +54,8 @@
   framework::milliseconds RetryAfter{0};
   /// The backend server announced that it is draining.
   bool Draining = false;
+  /// The backend server announced that it leaves; its node goes on.
+  bool Leaving = false;
   /// Requests per second that the backend server takes, if it names a limit.
   std::optional<double> NamedLimit;
   /// The server keeps the connection open for another request.
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -163,6 +163,10 @@
     }
     Sent.ExtraTries = retry::takeChildBudget(Budget).ExtraTries;
     attempt_result LastAttempt = co_await sendToUpstream(Address, kj::mv(Sent));
+    const routing::incarnation &Leaving = LastAttempt.Answer.Load.Leaving;
+    if (!Leaving.Name.empty()) {
+      routing::recordLeaving(Node.Upstreams, Address, Leaving);
+    }
     if (LastAttempt.Answer.Outcome == outcome::Completed) {
       monotonic_time End = readClocks().Monotonic;
       routing::recordLatency(Node.Upstreams, Address, Request.Template,
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -73,6 +73,9 @@
   Load.Queued = static_cast<std::uint32_t>(Node.Queue.Size);
   Load.FailureRate = Node.Limit.FailureRate;
   Load.Draining = Node.Condition.Draining;
+  if (Node.BackendAnnouncedLeaving) {
+    Load.Leaving = Node.BackendInstance;
+  }
   return Load;
 }
 
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -68,9 +68,9 @@
   /// Name of the instance that runs at this node's backend address, where the
   /// configuration lists instances with their backend servers. Empty while
   /// unknown.
-  std::string BackendInstance;
-  /// Its start in milliseconds since the Unix epoch; 0 if not published.
-  std::uint64_t BackendStartedMs = 0;
+  routing::incarnation BackendInstance;
+  /// Whether that instance has said in an answer that it leaves.
+  bool BackendAnnouncedLeaving = false;
   /// When this node first learnt that its backend server is shutting down or no
   /// longer listed.
   std::optional<framework::monotonic_time> BackendLeavingSince;
--- a/src/node/servicesettings.cpp
+++ b/src/node/servicesettings.cpp
@@ -18,6 +18,21 @@
 /// when nearly full and a new connection may briefly occupy a slot.
 constexpr double UsableSlotFraction = 0.94;
 
+/// Takes over the instance at this node's backend address. What an earlier one
+/// has announced says nothing about it.
+void applyIncarnation(node_runtime &Node,
+                      const configuration::instance &Instance) {
+  routing::incarnation Incarnation{Instance.Name, Instance.StartedMs};
+  if (Incarnation == Node.BackendInstance) {
+    return;
+  }
+  Node.BackendInstance = Incarnation;
+  Node.BackendAnnouncedLeaving = false;
+  admission::clearLimit(Node.RateLimit);
+  logEvent(log_level::Info, "backend_instance",
+           {{"instance", Instance.Name}, {"slots", Instance.Slots}});
+}
+
 /// Finds the newest instance at this node's backend address and applies its
 /// slots and state.
 void applyBackendInstance(node_runtime &Node) {
@@ -32,27 +47,21 @@
       }
     }
   }
-  bool Leaving = Newest == nullptr
-                     ? !Node.BackendInstance.empty()
-                     : Newest->State == configuration::instance_state::Leaving;
-  if (!Leaving) {
+  if (Newest != nullptr) {
+    applyIncarnation(Node, *Newest);
+  }
+  bool ListedLeaving =
+      Newest == nullptr
+          ? !Node.BackendInstance.Name.empty()
+          : Newest->State == configuration::instance_state::Leaving;
+  if (ListedLeaving || Node.BackendAnnouncedLeaving) {
+    recordBackendLeaving(Node);
+  } else {
     Node.BackendLeavingSince.reset();
-  } else if (!Node.BackendLeavingSince) {
-    Node.BackendLeavingSince = readClocks().Monotonic;
-    logEvent(log_level::Info, "backend_leaving",
-             {{"instance", Node.BackendInstance}});
   }
   if (Newest == nullptr) {
     return;
   }
-  if (Newest->Name != Node.BackendInstance ||
-      Newest->StartedMs != Node.BackendStartedMs) {
-    Node.BackendInstance = Newest->Name;
-    Node.BackendStartedMs = Newest->StartedMs;
-    admission::clearLimit(Node.RateLimit);
-    logEvent(log_level::Info, "backend_instance",
-             {{"instance", Newest->Name}, {"slots", Newest->Slots}});
-  }
   Node.MinimumShares.fill(RouteMinimumShare);
   if (Newest->Slots > 0) {
     admission::setSlots(Node.Limit, UsableSlotFraction * Newest->Slots);
@@ -63,6 +72,16 @@
 
 } // namespace
 
+void recordBackendLeaving(node_runtime &Node) {
+  if (Node.BackendLeavingSince) {
+    return;
+  }
+  Node.BackendLeavingSince = readClocks().Monotonic;
+  logEvent(log_level::Info, "backend_leaving",
+           {{"instance", Node.BackendInstance.Name},
+            {"announced", Node.BackendAnnouncedLeaving ? "yes" : "no"}});
+}
+
 void applyServiceSettings(node_runtime &Node) {
   if (servesRoutes(Node.Settings)) {
     applyBackendInstance(Node);
--- a/src/node/servicesettings.h
+++ b/src/node/servicesettings.h
@@ -11,4 +11,7 @@
 /// Called after each change of the configuration.
 void applyServiceSettings(node_runtime &Node);
 
+/// Records that the backend server leaves, if that is not known yet.
+void recordBackendLeaving(node_runtime &Node);
+
 } // namespace figplank::node
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -1,6 +1,7 @@
 #include "node/upstream.h"
 
 #include "node/decisionlog.h"
+#include "node/servicesettings.h"
 
 #include <algorithm>
 
@@ -269,8 +270,8 @@
                                 const call_context &Context,
                                 std::uint32_t RemainingMs) {
   if (Request.Forwarded) {
-    if (!Node.BackendInstance.empty()) {
-      Request.Forwarded->ExpectedInstance = Node.BackendInstance;
+    if (!Node.BackendInstance.Name.empty()) {
+      Request.Forwarded->ExpectedInstance = Node.BackendInstance.Name;
     }
     return Backend.forward(Request, RemainingMs);
   }
@@ -310,6 +311,10 @@
   if (HasAnswered) {
     recordNamedLimit(Received.NamedLimit);
   }
+  if (HasAnswered && Received.Leaving) {
+    Node.BackendAnnouncedLeaving = true;
+    recordBackendLeaving(Node);
+  }
   bool Crashed = false;
   switch (Received.Result) {
   case backend_result::Answered:
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -45,6 +45,8 @@
   To.setQueued(From.Queued);
   To.setFailureRate(From.FailureRate);
   To.setDraining(From.Draining);
+  To.setLeavingInstance(toText(From.Leaving.Name));
+  To.setLeavingStartedMs(From.Leaving.StartedMs);
 }
 
 void writeHeaders(capnp::List<rpc::Header>::Builder To,
@@ -90,6 +92,8 @@
   Load.FailureRate =
       isFraction(From.getFailureRate()) ? From.getFailureRate() : 0.0;
   Load.Draining = From.getDraining();
+  Load.Leaving = {toString(From.getLeavingInstance()),
+                  From.getLeavingStartedMs()};
   return Load;
 }
 
--- a/src/routing/tests/upstreams_tests.cpp
+++ b/src/routing/tests/upstreams_tests.cpp
@@ -153,6 +153,17 @@
   }
 }
 
+TEST(Upstreams, LeavingIncarnationIsExcludedAndALaterOneIsNot) {
+  Candidates.resize(1);
+  Candidates[0].StartedMs = 1'000;
+  recordLeaving(Table, "a", {"a", 1'000});
+  STRCMP_EQUAL("none", choose({0.0, 0.0}).c_str());
+  clearViews(Table);
+  STRCMP_EQUAL("none", choose({0.0, 0.0}, 100'000).c_str());
+  Candidates[0].StartedMs = 2'000;
+  STRCMP_EQUAL("a", choose({0.0, 0.0}).c_str());
+}
+
 // Guards against an upstream that is starved for good after a slow moment.
 TEST(Upstreams, SlowUpstreamIsMeasuredAgainAfterATimeWithoutRequests) {
   for (int I = 0; I < 60; ++I) {
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -82,7 +82,10 @@
   Healthy.reserve(Candidates.size());
   for (const candidate &Candidate : Candidates) {
     const upstream_view *View = findView(Table, Candidate.Address);
-    if (View != nullptr && Now < View->DrainingUntil) {
+    bool IsLeaving =
+        View != nullptr &&
+        View->Leaving == incarnation{Candidate.Name, Candidate.StartedMs};
+    if (IsLeaving || (View != nullptr && Now < View->DrainingUntil)) {
       continue;
     }
     All.push_back(&Candidate);
@@ -148,7 +151,8 @@
     for (const auto &[Name, Instance] : Listed->second) {
       if (Instance.State == configuration::instance_state::Live &&
           !isSuperseded(Instance, Listed->second)) {
-        Candidates.push_back({Name, Instance.Zone, Instance.Address});
+        Candidates.push_back(
+            {Name, Instance.Zone, Instance.Address, Instance.StartedMs});
       }
     }
   }
@@ -156,7 +160,7 @@
   // the published roster is used in its place.
   if (Candidates.empty() && Settings != Catalog.Services.end()) {
     for (const configuration::roster_member &Member : Settings->second.Roster) {
-      Candidates.push_back({Member.Name, Member.Zone, Member.Address});
+      Candidates.push_back({Member.Name, Member.Zone, Member.Address, 0});
     }
   }
   return Candidates;
@@ -273,11 +277,17 @@
       Now + Table.Settings.DrainRetryInterval;
 }
 
+void recordLeaving(upstream_table &Table, std::string_view Address,
+                   const incarnation &Leaving) {
+  findOrAddView(Table, Address).Leaving = Leaving;
+}
+
 void clearViews(upstream_table &Table) {
   for (auto &[Address, View] : Table.Views) {
-    std::uint32_t Outstanding = View.Outstanding;
-    View = upstream_view();
-    View.Outstanding = Outstanding;
+    upstream_view Cleared;
+    Cleared.Outstanding = View.Outstanding;
+    Cleared.Leaving = std::move(View.Leaving);
+    View = std::move(Cleared);
   }
 }
 
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -18,6 +18,16 @@
 
 namespace figplank::routing {
 
+/// One start of a backend server, by which it is told from those before and
+/// after it at the same address.
+struct incarnation {
+  std::string Name;
+  /// In milliseconds since the Unix epoch; 0 if not published.
+  std::uint64_t StartedMs = 0;
+
+  bool operator==(const incarnation &) const = default;
+};
+
 /// The load that an upstream's node reports with each answer.
 struct reported_load {
   /// Limit of concurrent requests.
@@ -27,6 +37,9 @@
   /// Fraction of the recent requests that its backend server failed.
   double FailureRate = 0.0;
   bool Draining = false;
+  /// The incarnation of the backend server that has said in an answer that it
+  /// leaves; no name for none.
+  incarnation Leaving;
 };
 
 /// What this node has observed of one upstream.
@@ -43,6 +56,9 @@
   /// No requests are sent before this time, because the upstream announced a
   /// drain.
   framework::monotonic_time DrainingUntil;
+  /// The incarnation that has said that it leaves. It receives no further
+  /// requests; a later one does.
+  incarnation Leaving;
   /// Moving average of the ratio of this upstream's latency to the baseline of
   /// the same kind of request, both as measured by this node.
   double LatencyRatio = 1.0;
@@ -98,6 +114,7 @@
   std::string Name;
   std::string Zone;
   std::string Address;
+  std::uint64_t StartedMs = 0;
 };
 
 /// The upstreams of \p Service: its live instances, or the members of its
@@ -158,8 +175,14 @@
 void recordDrain(upstream_table &Table, std::string_view Address,
                  framework::monotonic_time Now);
 
+/// Records that \p Leaving, a backend server at the upstream, has said that it
+/// leaves.
+void recordLeaving(upstream_table &Table, std::string_view Address,
+                   const incarnation &Leaving);
+
 /// Resets the views after a pause of this process, because they are out of
-/// date. The counts of outstanding requests are kept.
+/// date. The counts of outstanding requests are kept, and the incarnations that
+/// leave.
 void clearViews(upstream_table &Table);
 
 } // namespace figplank::routing
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -58,6 +58,10 @@
   queued @2 :UInt32;
   failureRate @3 :Float64;
   draining @4 :Bool;
+  leavingInstance @5 :Text;
+  leavingStartedMs @6 :UInt64;
+  # Incarnation of the backend server that has said in an answer that it leaves;
+  # an empty name for none.
 }
 
 struct WorkAnswer {
--- a/src/rpc/node.capnp.h
+++ b/src/rpc/node.capnp.h
@@ -100,7 +100,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8d2c0230d027129c, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(8d2c0230d027129c, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -829,6 +829,11 @@
 
   inline bool getDraining() const;
 
+  inline bool hasLeavingInstance() const;
+  inline  ::capnp::Text::Reader getLeavingInstance() const;
+
+  inline  ::uint64_t getLeavingStartedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -872,6 +877,16 @@
   inline bool getDraining();
   inline void setDraining(bool value);
 
+  inline bool hasLeavingInstance();
+  inline  ::capnp::Text::Builder getLeavingInstance();
+  inline void setLeavingInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeavingInstance(unsigned int size);
+  inline void adoptLeavingInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeavingInstance();
+
+  inline  ::uint64_t getLeavingStartedMs();
+  inline void setLeavingStartedMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3196,6 +3211,54 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::hasLeavingInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasLeavingInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Load::Reader::getLeavingInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Load::Builder::getLeavingInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::setLeavingInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Load::Builder::initLeavingInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Load::Builder::adoptLeavingInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Load::Builder::disownLeavingInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Load::Reader::getLeavingStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getLeavingStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLeavingStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t WorkAnswer::Reader::getAttempt() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
