An earlier refusal is not taken for the answer to a later request (REFUSED)

What callers saw: 503 with a time to come back for a request that is not idempotent and had run, after a faulty server had written a refusal once more on a kept connection. Cause: a refusal need not name its request. A connection whose last answer was one was kept from such requests, but one answer later it was used again. Found through the users' report. Change: a connection that has carried a refusal carries no non-idempotent request any more; those requests look for another idle connection, and no longer close the others that they pass over. Test: EarlierRefusalIsNotTakenForTheAnswerToALaterRequest failed with 503 before, passes now. The report of answers that end within their head does not happen here: AnswerThatEndsWithinItsHeadIsNotForwarded cuts the head at each byte, with and without a length; message_parser::finish() takes the end there as malformed.

--- a/src/node/forwardpool.cpp
+++ b/src/node/forwardpool.cpp
@@ -45,17 +45,31 @@
 
 } // namespace
 
-task<kj::Own<http::client_connection>> forward_pool::acquire(bool Idempotent) {
-  monotonic_time Now = readClocks().Monotonic;
-  while (!IdleConnections.empty()) {
-    idle_connection Newest = kj::mv(IdleConnections.back());
-    IdleConnections.pop_back();
-    bool Reliable = Now - Newest.IdleSince < NonIdempotentMaxIdleTime &&
-                    !Newest.CarriedRefusal;
-    if (Newest.Connection->isUsable() && Now < Newest.UsableUntil &&
-        (Idempotent || Reliable)) {
-      co_return kj::mv(Newest.Connection);
-    }
+std::optional<forward_pool::pooled_connection>
+forward_pool::takeIdle(bool Idempotent, monotonic_time Now) {
+  std::erase_if(IdleConnections, [Now](const idle_connection &Idle) {
+    return !Idle.Pooled.Connection->isUsable() || Now >= Idle.UsableUntil;
+  });
+  auto MayCarry = [Idempotent, Now](const idle_connection &Idle) {
+    return Idempotent || (Now - Idle.IdleSince < NonIdempotentMaxIdleTime &&
+                          !Idle.Pooled.CarriedRefusal);
+  };
+  // The newest one is the least likely to be closed by the server.
+  auto Newest =
+      std::find_if(IdleConnections.rbegin(), IdleConnections.rend(), MayCarry);
+  if (Newest == IdleConnections.rend()) {
+    return std::nullopt;
+  }
+  pooled_connection Taken = kj::mv(Newest->Pooled);
+  IdleConnections.erase(std::next(Newest).base());
+  return Taken;
+}
+
+task<forward_pool::pooled_connection> forward_pool::acquire(bool Idempotent) {
+  std::optional<pooled_connection> Idle =
+      takeIdle(Idempotent, readClocks().Monotonic);
+  if (Idle) {
+    co_return kj::mv(*Idle);
   }
   kj::Own<kj::NetworkAddress> Address =
       co_await Node.Network.parseAddress(Node.Settings.BackendAddress.c_str());
@@ -66,20 +80,15 @@
   http::parser_limits Limits;
   Limits.MaxBodyBytes = MaxResponseBytes;
   Limits.Budget = &ResponseBodies;
-  co_return kj::heap<http::client_connection>(kj::mv(Stream), Limits);
+  co_return pooled_connection{
+      kj::heap<http::client_connection>(kj::mv(Stream), Limits)};
 }
 
-void forward_pool::release(kj::Own<http::client_connection> Connection,
-                           const http::header_list &Headers,
-                           bool CarriedRefusal) {
+void forward_pool::release(pooled_connection Pooled,
+                           const http::header_list &Headers) {
   monotonic_time Now = readClocks().Monotonic;
-  Connection->watchIdle();
-  IdleConnections.push_back(
-      {kj::mv(Connection), Now, Now + maxIdleTime(Headers), CarriedRefusal});
-  while (!IdleConnections.empty() &&
-         Now >= IdleConnections.front().UsableUntil) {
-    IdleConnections.pop_front();
-  }
+  Pooled.Connection->watchIdle();
+  IdleConnections.push_back({kj::mv(Pooled), Now, Now + maxIdleTime(Headers)});
 }
 
 task<backend_answer> forward_pool::send(const work_request &Request,
@@ -87,17 +96,17 @@
   const std::string Name = Request.Forwarded->RequestName;
   http::request Sent = Dialect.WriteBackendRequest(Request, RemainingMs);
   backend_answer Answer;
-  kj::Own<http::client_connection> Connection;
+  pooled_connection Pooled;
   try {
-    Connection = co_await acquire(Request.Idempotent);
+    Pooled = co_await acquire(Request.Idempotent);
   } catch (const kj::Exception &) {
     Answer.Result = backend_result::Unreachable;
   }
-  if (Connection.get() == nullptr) {
+  if (Pooled.Connection.get() == nullptr) {
     co_return kj::mv(Answer);
   }
   const wire_dialect &WireDialect = Dialect;
-  http::exchange_result Exchanged = co_await Connection->exchange(
+  http::exchange_result Exchanged = co_await Pooled.Connection->exchange(
       kj::mv(Sent), [&WireDialect, &Name](const http::response &Response) {
         return WireDialect.AnswersRequest(Response, Name);
       });
@@ -107,9 +116,9 @@
   }
   const http::header_list Headers = Exchanged.FinalResponse->Headers;
   Answer = Dialect.ReadBackendAnswer(kj::mv(*Exchanged.FinalResponse));
-  if (Connection->isUsable()) {
-    release(kj::mv(Connection), Headers,
-            Answer.Result != backend_result::Answered);
+  Pooled.CarriedRefusal |= Answer.Result != backend_result::Answered;
+  if (Pooled.Connection->isUsable()) {
+    release(kj::mv(Pooled), Headers);
   }
   co_return kj::mv(Answer);
 }
--- a/src/node/forwardpool.h
+++ b/src/node/forwardpool.h
@@ -8,6 +8,7 @@
 #include "node/runtime.h"
 
 #include <deque>
+#include <optional>
 
 namespace figplank::node {
 
@@ -28,18 +29,24 @@
   void closeIdleConnections() { IdleConnections.clear(); }
 
 private:
-  struct idle_connection {
+  struct pooled_connection {
     kj::Own<http::client_connection> Connection;
+    /// Any answer on it was a refusal. It need not name its request, so a late
+    /// second copy of it could be taken for the answer to another request.
+    bool CarriedRefusal = false;
+  };
+  struct idle_connection {
+    pooled_connection Pooled;
     framework::monotonic_time IdleSince;
     framework::monotonic_time UsableUntil;
-    /// The last answer was a refusal. It need not name its request, so a late
-    /// second copy of it could be taken for the answer to the next request.
-    bool CarriedRefusal = false;
   };
 
-  task<kj::Own<http::client_connection>> acquire(bool Idempotent);
-  void release(kj::Own<http::client_connection> Connection,
-               const http::header_list &Headers, bool CarriedRefusal);
+  /// Takes an idle connection that may carry the next request; none if there is
+  /// no such connection. Those that cannot be used any more are closed.
+  std::optional<pooled_connection> takeIdle(bool Idempotent,
+                                            framework::monotonic_time Now);
+  task<pooled_connection> acquire(bool Idempotent);
+  void release(pooled_connection Pooled, const http::header_list &Headers);
 
   node_runtime &Node;
   const wire_dialect &Dialect;
