--- a/src/configuration/validation.cpp
+++ b/src/configuration/validation.cpp
@@ -387,7 +387,7 @@
     return Result;
   }
   if (Value.size() > MaxValueBytes) {
-    Result.Findings.push_back({Location, "", "the value is longer than 1 MiB"});
+    Result.Findings.push_back({Location, "", "the value is longer than 2 MiB"});
     return Result;
   }
   json Document = parseJson(Value);
--- a/src/configuration/validation.h
+++ b/src/configuration/validation.h
@@ -28,8 +28,9 @@
 /// Returns \p Host in lower case and without its port.
 std::string normalizeHost(std::string_view Host);
 
-/// Maximum size of a value in bytes, the same as the platform's own limit.
-inline constexpr std::size_t MaxValueBytes = std::size_t{1} << 20U;
+/// Maximum size of a value in bytes. Twice the limit of the platform, whose
+/// values a deployment may translate to longer ones.
+inline constexpr std::size_t MaxValueBytes = std::size_t{2} << 20U;
 
 /// Parses and validates the JSON text \p Value published under \p Key. The
 /// location of each finding is `KEY: /json/pointer`.
