--- a/src/configuration/jsonreader.cpp
+++ b/src/configuration/jsonreader.cpp
@@ -21,18 +21,37 @@
   return nullptr;
 }
 
+/// Whether \p Text has more than MaxJsonDepth brackets open at once, without
+/// those in strings. Cheaper than a parser that reports each value.
+bool isNestedTooDeeply(std::string_view Text) {
+  int Depth = 0;
+  bool InString = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    char C = Text[I];
+    if (InString) {
+      I += C == '\\' ? 1 : 0;
+      InString = C != '"';
+    } else if (C == '"') {
+      InString = true;
+    } else if (C == '{' || C == '[') {
+      ++Depth;
+    } else if (C == '}' || C == ']') {
+      --Depth;
+    }
+    if (Depth > MaxJsonDepth) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 json parseJson(std::string_view Text) {
-  bool TooDeep = false;
-  json Value = json::parse(
-      Text,
-      [&TooDeep](int Depth, json::parse_event_t, json &) {
-        TooDeep |= Depth > MaxJsonDepth;
-        return !TooDeep;
-      },
-      false);
-  return TooDeep ? json(json::value_t::discarded) : Value;
+  if (isNestedTooDeeply(Text)) {
+    return json(json::value_t::discarded);
+  }
+  return json::parse(Text, nullptr, false);
 }
 
 void addFinding(json_reader &Reader, std::string_view Name,
--- a/src/configuration/tests/validation_tests.cpp
+++ b/src/configuration/tests/validation_tests.cpp
@@ -1,3 +1,4 @@
+#include "configuration/jsonreader.h"
 #include "configuration/validation.h"
 
 #include <CppUTest/TestHarness.h>
@@ -121,3 +122,16 @@
   CHECK(Instance.StartedMs == 1790000000000ULL);
   CHECK(Instance.State == instance_state::Leaving);
 }
+
+TEST(Validation, NestingIsCountedWithoutBracketsInStrings) {
+  auto Nested = [](int Depth) {
+    auto Levels = static_cast<std::size_t>(Depth);
+    return std::string(Levels, '[') + "1" + std::string(Levels, ']');
+  };
+  CHECK_FALSE(parseJson(Nested(MaxJsonDepth)).is_discarded());
+  CHECK(parseJson(Nested(MaxJsonDepth + 1)).is_discarded());
+  CHECK(parseJson(std::string(1'000'000, '[')).is_discarded());
+  std::string Brackets = R"(["\\\")" + std::string(100, '[') + R"(", [2]])";
+  CHECK_FALSE(parseJson(Brackets).is_discarded());
+  CHECK(parseJson("{\"a\":").is_discarded());
+}
