--- a/src/admission/ratelimit.cpp
+++ b/src/admission/ratelimit.cpp
@@ -1,7 +1,6 @@
 #include "admission/ratelimit.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace figplank::admission {
 namespace {
--- a/src/configuration/validation.cpp
+++ b/src/configuration/validation.cpp
@@ -19,7 +19,6 @@
 constexpr std::size_t MaxPreviousRosters = 8;
 constexpr std::uint32_t MaxSlots = 100'000;
 constexpr std::uint32_t MaxTemplateBodyBytes = 8U << 20U;
-constexpr std::uint32_t MaxWarmUpMs = 3'600'000;
 constexpr double MaxUnixMs = 1e15;
 constexpr std::uint32_t MaxTimeoutMs = 3'600'000;
 constexpr std::uint32_t MaxAttempts = 10;
--- a/src/configuration/validation.h
+++ b/src/configuration/validation.h
@@ -28,6 +28,9 @@
 /// Returns \p Host in lower case and without its port.
 std::string normalizeHost(std::string_view Host);
 
+/// Maximum time for which an instance may be slow after its start.
+inline constexpr std::uint32_t MaxWarmUpMs = 3'600'000;
+
 /// Maximum size of a value in bytes. Twice the limit of the platform, whose
 /// values a deployment may translate to longer ones.
 inline constexpr std::size_t MaxValueBytes = std::size_t{2} << 20U;
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -18,9 +18,7 @@
 using framework::monotonic_time;
 using framework::readClocks;
 
-/// Attempts of a call to a peer. The second one is made on a new connection if
-/// the first one got no answer on a connection that was open before: it may
-/// have become silent while the peer has not.
+/// Attempts of a call to a peer; see callPeer.
 constexpr unsigned MaxCallAttempts = 2;
 
 /// The state that the log shows for an accepted \p Entry.
@@ -161,13 +159,19 @@
                               std::vector<published_entry> Entries,
                               std::uint8_t Hops) {
   // The next exchange repairs a lost push.
+  co_await callPeer(Address, [&](kj::Own<peer_connection> Connection) {
+    return pushOnce(kj::mv(Connection), Entries, Hops);
+  });
+}
+
+task<void> disseminator::callPeer(std::string Address, peer_call Call) {
   bool Settled = false;
   for (unsigned I = 0; I < MaxCallAttempts && !Settled; ++I) {
     connection_result Connected = co_await Peers.connect(Address);
     Settled = true;
     KJ_IF_MAYBE (Connection, Connected.Value) {
       bool MayBeSilent = (*Connection)->EverAnswered;
-      bool Answered = co_await pushOnce(kj::mv(*Connection), Entries, Hops);
+      bool Answered = co_await Call(kj::mv(*Connection));
       Settled = Answered || !MayBeSilent;
     }
   }
@@ -217,11 +221,11 @@
   co_return Step;
 }
 
-task<disseminator::exchange_step>
-disseminator::exchangeUntilEqual(kj::Own<peer_connection> Connection) {
-  exchange_step Step = co_await exchangeOnce(*Connection, false);
+task<bool> disseminator::exchangeUntilEqual(kj::Own<peer_connection> Connection,
+                                            exchange_step &Step) {
+  Step = co_await exchangeOnce(*Connection, false);
   if (!Step.Answered) {
-    co_return Step;
+    co_return false;
   }
   ++AnsweredExchanges;
   KJ_DEFER(--AnsweredExchanges);
@@ -237,7 +241,7 @@
     }
     Step = Next;
   }
-  co_return Step;
+  co_return true;
 }
 
 task<void> disseminator::exchangeWith(std::string Address) {
@@ -248,16 +252,9 @@
   membership::recordExchange(Unresponsive, Address, false,
                              readClocks().Monotonic);
   exchange_step Step;
-  bool Settled = false;
-  for (unsigned I = 0; I < MaxCallAttempts && !Settled; ++I) {
-    connection_result Connected = co_await Peers.connect(Address);
-    Settled = true;
-    KJ_IF_MAYBE (Connection, Connected.Value) {
-      bool MayBeSilent = (*Connection)->EverAnswered;
-      Step = co_await exchangeUntilEqual(kj::mv(*Connection));
-      Settled = Step.Answered || !MayBeSilent;
-    }
-  }
+  co_await callPeer(Address, [&](kj::Own<peer_connection> Connection) {
+    return exchangeUntilEqual(kj::mv(Connection), Step);
+  });
   membership::recordExchange(Unresponsive, Address, Step.Answered,
                              readClocks().Monotonic);
   if (Step.Answered) {
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -13,6 +13,7 @@
 #include "node/platformreader.h"
 #include "node/readerduty.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -114,8 +115,16 @@
   task<exchange_step> exchangeOnce(peer_connection &Connection,
                                    bool SendBuckets);
   task<void> exchangeWith(std::string Address);
-  /// Repeats exchangeOnce until the copies agree. Returns the last step.
-  task<exchange_step> exchangeUntilEqual(kj::Own<peer_connection> Connection);
+  /// Repeats exchangeOnce until the copies agree. \p Step becomes the last
+  /// answered step. Returns whether the first one was answered.
+  task<bool> exchangeUntilEqual(kj::Own<peer_connection> Connection,
+                                exchange_step &Step);
+  /// Makes a call on a connection. Returns whether it was answered.
+  using peer_call = std::function<task<bool>(kj::Own<peer_connection>)>;
+  /// Makes \p Call on a connection to the node at \p Address. It is repeated on
+  /// a new one if it gets no answer on a connection that was open before, which
+  /// may have become silent while the peer has not.
+  task<void> callPeer(std::string Address, peer_call Call);
   bool mayStartExchange() const;
   /// Sends one push on \p Connection. Returns whether it was answered.
   task<bool>
