--- a/src/framework/outcome.h
+++ b/src/framework/outcome.h
@@ -62,6 +62,8 @@
   WrongInstance,
   /// The backend server named a limit on requests per second, which is used up.
   ServerLimit,
+  /// The memory account of the process had no room.
+  MemoryShort,
 };
 
 /// A refusal reason, its name, and the HTTP status of responses that give it.
@@ -71,7 +73,7 @@
   std::uint16_t Status;
 };
 
-inline constexpr std::array<refusal_row, 33> RefusalTable{{
+inline constexpr std::array<refusal_row, 34> RefusalTable{{
     {refusal_reason::None, "none", 200},
     {refusal_reason::MalformedRequest, "malformed_request", 400},
     {refusal_reason::BodyTooLarge, "body_too_large", 413},
@@ -105,6 +107,7 @@
     {refusal_reason::UnknownRoute, "unknown_route", 404},
     {refusal_reason::WrongInstance, "wrong_instance", 503},
     {refusal_reason::ServerLimit, "server_limit", 503},
+    {refusal_reason::MemoryShort, "memory_short", 503},
 }};
 
 /// Returns the row of \p Reason. The row index is the enumerator's value.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -21,8 +21,9 @@
 } // namespace
 
 client_connection::client_connection(kj::Own<kj::AsyncIoStream> Stream,
-                                     parser_limits Limits)
-    : Stream(kj::mv(Stream)), Parser(message_parser::kind::Responses, Limits) {}
+                                     parser_limits Limits, kj::Timer &Timer)
+    : Stream(kj::mv(Stream)), Parser(message_parser::kind::Responses, Limits),
+      Timer(Timer) {}
 
 void client_connection::watchIdle() {
   IdleRead = Stream->tryRead(&IdleByte, 1, 1)
@@ -39,6 +40,13 @@
   co_return BytesRead > 0;
 }
 
+task<void> client_connection::awaitRoom() {
+  constexpr kj::Duration PollInterval = 5 * kj::MILLISECONDS;
+  while (!Parser.reserveBody()) {
+    co_await Timer.afterDelay(PollInterval);
+  }
+}
+
 task<exchange_result> client_connection::exchange(request Request,
                                                   response_filter IsExpected) {
   IdleRead = nullptr;
@@ -61,6 +69,7 @@
   bool IsOpen = true;
   while (IsOpen && !Result.FinalResponse && Discarded <= MaxDiscarded) {
     if (Bytes.empty()) {
+      co_await awaitRoom();
       try {
         IsOpen = co_await readMore(Bytes);
       } catch (const kj::Exception &) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -7,6 +7,7 @@
 #include "http/parser.h"
 
 #include <kj/async-io.h>
+#include <kj/timer.h>
 
 #include <functional>
 #include <optional>
@@ -30,7 +31,8 @@
 
 class client_connection {
 public:
-  client_connection(kj::Own<kj::AsyncIoStream> Stream, parser_limits Limits);
+  client_connection(kj::Own<kj::AsyncIoStream> Stream, parser_limits Limits,
+                    kj::Timer &Timer);
   KJ_DISALLOW_COPY(client_connection);
 
   /// Sends \p Request and reads responses until \p IsExpected accepts one. Only
@@ -46,9 +48,12 @@
 
 private:
   task<bool> readMore(std::string &Bytes);
+  /// Waits until the account has room for the body of the response.
+  task<void> awaitRoom();
 
   kj::Own<kj::AsyncIoStream> Stream;
   message_parser Parser;
+  kj::Timer &Timer;
   bool Usable = true;
   char IdleByte = 0;
   kj::Maybe<kj::Promise<void>> IdleRead;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
+#include <unordered_set>
 
 namespace figplank::http {
 namespace {
@@ -10,13 +10,6 @@
 constexpr std::uint16_t NoContent = 204;
 constexpr std::uint16_t NotModified = 304;
 
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
-  return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
-                    [](unsigned char A, unsigned char B) {
-                      return std::tolower(A) == std::tolower(B);
-                    });
-}
-
 std::string_view trim(std::string_view Text) {
   while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t')) {
     Text.remove_prefix(1);
@@ -27,15 +20,32 @@
   return Text;
 }
 
-void appendHeaders(std::string &To, const header_list &Headers) {
-  for (const header &Header : Headers) {
-    To += Header.Name;
-    To += ": ";
-    To += Header.Value;
-    To += "\r\n";
+std::string lowerCase(std::string_view Name) {
+  std::string Lower(Name);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(), toLower);
+  return Lower;
+}
+
+/// Adds the names in \p List, which commas separate, to \p Names in lower case.
+void addNames(std::unordered_set<std::string> &Names, std::string_view List) {
+  while (!List.empty()) {
+    std::size_t Comma = std::min(List.find(','), List.size());
+    Names.insert(lowerCase(trim(List.substr(0, Comma))));
+    List.remove_prefix(std::min(Comma + 1, List.size()));
   }
 }
 
+bool isHopByHopName(std::string_view Name) {
+  constexpr std::array<std::string_view, 10> HopByHopNames{
+      "Connection", "Keep-Alive",    "Proxy-Connection",  "TE",
+      "Trailer",    "Upgrade",       "Transfer-Encoding", "Content-Length",
+      "Expect",     "HTTP2-Settings"};
+  return std::any_of(HopByHopNames.begin(), HopByHopNames.end(),
+                     [Name](std::string_view HopByHopName) {
+                       return equalsIgnoringCase(Name, HopByHopName);
+                     });
+}
+
 std::string_view reasonPhrase(std::uint16_t Status) {
   switch (Status) {
   case 200:
@@ -69,51 +79,17 @@
 
 } // namespace
 
-const std::string *findHeader(const header_list &Headers,
-                              std::string_view Name) {
-  for (const header &Header : Headers) {
-    if (equalsIgnoringCase(Header.Name, Name)) {
-      return &Header.Value;
-    }
-  }
-  return nullptr;
-}
-
-void removeHeader(header_list &Headers, std::string_view Name) {
-  std::erase_if(Headers, [Name](const header &Header) {
-    return equalsIgnoringCase(Header.Name, Name);
-  });
-}
-
-void setHeader(header_list &Headers, std::string_view Name, std::string Value) {
-  removeHeader(Headers, Name);
-  Headers.push_back({std::string(Name), std::move(Value)});
-}
-
 void removeHopByHopHeaders(header_list &Headers) {
-  std::vector<std::string> ListedNames;
-  for (const header &Header : Headers) {
-    if (!equalsIgnoringCase(Header.Name, "Connection")) {
-      continue;
+  std::unordered_set<std::string> ListedNames;
+  for (const header &Line : Headers) {
+    if (equalsIgnoringCase(Line.Name, "Connection")) {
+      addNames(ListedNames, Line.Value);
     }
-    std::string_view Remaining = Header.Value;
-    while (!Remaining.empty()) {
-      std::size_t Comma = Remaining.find(',');
-      ListedNames.emplace_back(trim(Remaining.substr(0, Comma)));
-      Remaining = Comma == std::string_view::npos ? std::string_view()
-                                                  : Remaining.substr(Comma + 1);
-    }
-  }
-  for (const std::string &Name : ListedNames) {
-    removeHeader(Headers, Name);
-  }
-  constexpr std::array<std::string_view, 10> HopByHopNames{
-      "Connection", "Keep-Alive",    "Proxy-Connection",  "TE",
-      "Trailer",    "Upgrade",       "Transfer-Encoding", "Content-Length",
-      "Expect",     "HTTP2-Settings"};
-  for (std::string_view Name : HopByHopNames) {
-    removeHeader(Headers, Name);
   }
+  Headers = filterHeaders(Headers, [&ListedNames](const header &Line) {
+    return !isHopByHopName(Line.Name) &&
+           (ListedNames.empty() || !ListedNames.contains(lowerCase(Line.Name)));
+  });
 }
 
 std::string_view pathOf(std::string_view Target) {
@@ -122,7 +98,7 @@
 
 std::string formatRequestHead(const request &Request) {
   std::string Text = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
-  appendHeaders(Text, Request.Headers);
+  Text += Request.Headers.text();
   bool HasBody = !Request.Body.empty() || Request.Method == "POST" ||
                  Request.Method == "PUT" || Request.Method == "PATCH";
   if (HasBody) {
@@ -132,23 +108,22 @@
   return Text;
 }
 
-std::string formatResponse(const response &Response, bool Close, bool IsHead) {
+bool mayHaveBody(std::uint16_t Status) {
+  return Status != NoContent && Status != NotModified;
+}
+
+std::string formatResponseHead(const response &Response, bool Close) {
   std::string Text = "HTTP/1.1 " + std::to_string(Response.Status) + " ";
   Text += reasonPhrase(Response.Status);
   Text += "\r\n";
-  appendHeaders(Text, Response.Headers);
-  bool HasNoBody =
-      Response.Status == NoContent || Response.Status == NotModified;
-  if (!HasNoBody) {
+  Text += Response.Headers.text();
+  if (mayHaveBody(Response.Status)) {
     Text += "Content-Length: " + std::to_string(Response.Body.size()) + "\r\n";
   }
   if (Close) {
     Text += "Connection: close\r\n";
   }
   Text += "\r\n";
-  if (!IsHead && !HasNoBody) {
-    Text += Response.Body;
-  }
   return Text;
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -2,24 +2,15 @@
 /// HTTP/1.1 messages as value types, with the complete body in memory.
 #pragma once
 
+#include "http/headerlist.h"
 #include "http/sharedbody.h"
 
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace figplank::http {
 
-struct header {
-  std::string Name;
-  std::string Value;
-
-  bool operator==(const header &) const = default;
-};
-
-using header_list = std::vector<header>;
-
 struct request {
   std::string Method;
   /// Path and query, as in the request line.
@@ -28,12 +19,15 @@
   shared_body Body;
   /// Whether the connection stays open for further requests.
   bool KeepAlive = true;
+  /// What the request is charged beside its body; null for none. Whoever works
+  /// on the request keeps it.
+  std::shared_ptr<const framework::memory_charge> Charge = nullptr;
 };
 
 struct response {
   std::uint16_t Status = 0;
   header_list Headers;
-  std::string Body;
+  shared_body Body;
   bool KeepAlive = true;
 };
 
@@ -44,19 +38,8 @@
   return Status >= Min && Status <= Max;
 }
 
-/// Returns the value of the first header called \p Name, or null. All functions
-/// here compare header names case-insensitively.
-const std::string *findHeader(const header_list &Headers,
-                              std::string_view Name);
-
-/// Removes all headers called \p Name.
-void removeHeader(header_list &Headers, std::string_view Name);
-
-/// Replaces all headers called \p Name by a single one.
-void setHeader(header_list &Headers, std::string_view Name, std::string Value);
-
 /// Removes the hop-by-hop headers (RFC 9110, 7.6.1) and the headers that frame
-/// the body, which formatRequest() and formatResponse() write again.
+/// the body, which the functions below write again.
 void removeHopByHopHeaders(header_list &Headers);
 
 /// Returns the path of a request target, without the query.
@@ -65,8 +48,11 @@
 /// Serialises \p Request without its body, which follows unchanged.
 std::string formatRequestHead(const request &Request);
 
-/// Serialises \p Response. \p Close adds the header `Connection: close`. With
-/// \p IsHead, for the response to a HEAD request, the body is omitted.
-std::string formatResponse(const response &Response, bool Close, bool IsHead);
+/// Whether a response with the status \p Status may have a body.
+bool mayHaveBody(std::uint16_t Status);
+
+/// Serialises \p Response without its body. \p Close adds the header
+/// `Connection: close`.
+std::string formatResponseHead(const response &Response, bool Close);
 
 } // namespace figplank::http
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -13,10 +13,30 @@
 constexpr int SkipBody = 1;
 constexpr int FailHeaders = -1;
 
+/// Bytes between the name of a header and its value in header_list::text().
+constexpr std::string_view Separator = ": ";
+constexpr std::string_view LineEnd = "\r\n";
+/// Fewest bytes of a header line beside its name and value: colon and line
+/// feed.
+constexpr std::size_t MinLineBytes = 2;
+/// What is kept for a request while it runs, without its head.
+constexpr std::size_t RequestBytes = std::size_t{16} << 10U;
+/// Copies of parts of the head while a request runs: names, paths, messages to
+/// other nodes and the text for the backend server.
+constexpr std::size_t HeadCopies = 8;
+
 } // namespace
 
+std::size_t chargeOfRun(std::size_t HeadBytes) {
+  return RequestBytes + HeadCopies * HeadBytes;
+}
+
 message_parser::message_parser(kind Kind, parser_limits Limits)
-    : Kind(Kind), Limits(Limits), BodyShare(Limits.Budget) {
+    : Kind(Kind), Limits(Limits),
+      HeadCharge(Limits.Account, framework::memory_class::Heads),
+      BodyCharge(Limits.Account, Kind == kind::Requests
+                                     ? framework::memory_class::Bodies
+                                     : framework::memory_class::Answers) {
   http_parser_init(&Parser,
                    Kind == kind::Requests ? HTTP_REQUEST : HTTP_RESPONSE);
   Parser.data = this;
@@ -32,6 +52,10 @@
     Failure = parse_state::HeadersTooLarge;
     return false;
   }
+  if (!HeadCharge.growTo(HeaderBytes)) {
+    Failure = parse_state::NoRoom;
+    return false;
+  }
   return true;
 }
 
@@ -41,13 +65,36 @@
     Failure = parse_state::BodyTooLarge;
     return false;
   }
-  if (!BodyShare.growTo(Size)) {
-    Failure = parse_state::BudgetExhausted;
+  if (!BodyCharge.growTo(Size)) {
+    Failure = parse_state::NoRoom;
     return false;
   }
   return true;
 }
 
+bool message_parser::chargeRun() {
+  if (Kind == kind::Requests && !HeadCharge.growTo(chargeOfRun(HeaderBytes))) {
+    Failure = parse_state::NoRoom;
+    return false;
+  }
+  return true;
+}
+
+bool message_parser::reserveBody() {
+  bool IsInBody = IsInMessage && AreHeadersComplete;
+  return !IsInBody || BodyCharge.growTo(ExpectedBytes);
+}
+
+void message_parser::endHeaderLine() {
+  if (!AreHeadersComplete && Part == header_part::Name) {
+    HeaderText += Separator;
+  }
+  if (!AreHeadersComplete && Part != header_part::None) {
+    HeaderText += LineEnd;
+  }
+  Part = header_part::None;
+}
+
 int message_parser::onMessageBegin(http_parser *Parser) {
   self(Parser).IsInMessage = true;
   ++self(Parser).MessagesBegun;
@@ -64,31 +111,37 @@
 int message_parser::onHeaderName(http_parser *Parser, const char *At,
                                  std::size_t Length) {
   message_parser &Self = self(Parser);
+  std::size_t Counted = Length;
+  if (Self.Part != header_part::Name) {
+    Counted += MinLineBytes;
+    Self.endHeaderLine();
+    Self.Part = header_part::Name;
+  }
   // Trailers of a chunked body are dropped.
   if (!Self.AreHeadersComplete) {
-    if (!Self.IsInHeaderName) {
-      Self.Headers.emplace_back();
-    }
-    Self.IsInHeaderName = true;
-    Self.Headers.back().Name.append(At, Length);
+    Self.HeaderText.append(At, Length);
   }
-  return Self.countHeaderBytes(Length) ? 0 : StopParsing;
+  return Self.countHeaderBytes(Counted) ? 0 : StopParsing;
 }
 
 int message_parser::onHeaderValue(http_parser *Parser, const char *At,
                                   std::size_t Length) {
   message_parser &Self = self(Parser);
-  Self.IsInHeaderName = false;
   if (!Self.AreHeadersComplete) {
-    Self.Headers.back().Value.append(At, Length);
+    if (Self.Part == header_part::Name) {
+      Self.HeaderText += Separator;
+    }
+    Self.HeaderText.append(At, Length);
   }
+  Self.Part = header_part::Value;
   return Self.countHeaderBytes(Length) ? 0 : StopParsing;
 }
 
 int message_parser::onHeadersComplete(http_parser *Parser) {
   message_parser &Self = self(Parser);
+  Self.endHeaderLine();
   Self.AreHeadersComplete = true;
-  Self.IsInHeaderName = false;
+  Self.HasExpectHeader = findHeaderLine(Self.HeaderText, "Expect").has_value();
   if (Self.Kind == kind::Responses && !isValidStatus(Parser->status_code)) {
     Self.Failure = parse_state::Malformed;
     return FailHeaders;
@@ -107,8 +160,11 @@
   if (!Self.countBodyBytes(Length)) {
     return StopParsing;
   }
-  // A long body that grew in steps would be held twice at some of them.
-  if (Self.BodyShare.isCounted() && Self.Body.capacity() < Self.ExpectedBytes) {
+  // A body that grew in steps would take up to twice its length. Memory for a
+  // long one is asked for only once a part of it has come.
+  bool IsLong = Self.BodyCharge.bytes() > framework::MaxShortBytes;
+  bool MayReserve = IsLong || Self.ExpectedBytes <= framework::MaxShortBytes;
+  if (MayReserve && Self.Body.capacity() < Self.ExpectedBytes) {
     Self.Body.reserve(Self.ExpectedBytes);
   }
   Self.Body.append(At, Length);
@@ -121,7 +177,7 @@
   Self.IsInMessage = false;
   Self.KeepAlive = http_should_keep_alive(Parser) != 0;
   http_parser_pause(Parser, 1);
-  return 0;
+  return Self.chargeRun() ? 0 : StopParsing;
 }
 
 parse_state message_parser::feed(std::string_view Bytes,
@@ -162,11 +218,13 @@
 
 void message_parser::reset() {
   Target.clear();
-  Headers.clear();
-  Body.clear();
-  BodyShare.release();
+  // Not clear(), which would keep the memory of a long message.
+  HeaderText = std::string();
+  Body = std::string();
+  HeadCharge.release();
+  BodyCharge.release();
   HeaderBytes = 0;
-  IsInHeaderName = false;
+  Part = header_part::None;
   AreHeadersComplete = false;
   IsComplete = false;
   http_parser_pause(&Parser, 0);
@@ -176,8 +234,11 @@
   request Request;
   Request.Method = http_method_str(static_cast<http_method>(Parser.method));
   Request.Target = std::move(Target);
-  Request.Headers = std::move(Headers);
-  Request.Body = shared_body(std::move(Body), std::move(BodyShare));
+  HeaderText.shrink_to_fit();
+  Request.Headers = header_list::fromText(std::move(HeaderText));
+  Request.Body = shared_body(std::move(Body), std::move(BodyCharge));
+  Request.Charge =
+      std::make_shared<framework::memory_charge>(std::move(HeadCharge));
   Request.KeepAlive = KeepAlive;
   reset();
   return Request;
@@ -186,16 +247,15 @@
 response message_parser::takeResponse() {
   response Response;
   Response.Status = static_cast<std::uint16_t>(Parser.status_code);
-  Response.Headers = std::move(Headers);
-  Response.Body = std::move(Body);
+  Response.Headers = header_list::fromText(std::move(HeaderText));
+  Response.Body = shared_body(std::move(Body), std::move(BodyCharge));
   Response.KeepAlive = KeepAlive;
   reset();
   return Response;
 }
 
 bool message_parser::expectsContinue() const {
-  return AreHeadersComplete && !IsComplete &&
-         findHeader(Headers, "Expect") != nullptr;
+  return AreHeadersComplete && !IsComplete && HasExpectHeader;
 }
 
 } // namespace figplank::http
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -3,7 +3,7 @@
 /// parser object parses the successive messages of one connection.
 #pragma once
 
-#include "http/bodybudget.h"
+#include "framework/memoryaccount.h"
 #include "http/message.h"
 
 #include <http_parser.h>
@@ -16,8 +16,9 @@
 struct parser_limits {
   std::size_t MaxHeaderBytes = std::size_t{64} << 10U;
   std::size_t MaxBodyBytes = std::size_t{64} << 20U;
-  /// Must outlive the parser. Null for no common bound.
-  body_budget *Budget = nullptr;
+  /// Charged for what a message holds. Must outlive the parser and its
+  /// messages. Null for no common bound.
+  framework::memory_account *Account = nullptr;
 };
 
 enum class parse_state : std::uint8_t {
@@ -28,10 +29,14 @@
   Malformed,
   HeadersTooLarge,
   BodyTooLarge,
-  /// The bodies of all connections together exceed their budget.
-  BudgetExhausted,
+  /// The account has no room for the message.
+  NoRoom,
 };
 
+/// What a request with a head of \p HeadBytes bytes is charged while it runs,
+/// beside its body.
+std::size_t chargeOfRun(std::size_t HeadBytes);
+
 /// Parses either requests or responses.
 class message_parser {
 public:
@@ -66,11 +71,23 @@
   /// Returns the complete response and resets the parser for the next one.
   response takeResponse();
 
+  /// When the length of an incomplete body is known, charges it as a whole.
+  /// Returns false if the account has no room for it yet.
+  bool reserveBody();
+
+  /// Bytes charged for the current message.
+  std::size_t chargedBytes() const {
+    return HeadCharge.bytes() + BodyCharge.bytes();
+  }
+
   /// Returns whether the headers are complete and the client expects a
   /// `100 Continue` before it sends the body.
   bool expectsContinue() const;
 
 private:
+  /// The part of a header line that was read last.
+  enum class header_part : std::uint8_t { None, Name, Value };
+
   static int onMessageBegin(http_parser *Parser);
   static int onTarget(http_parser *Parser, const char *At, std::size_t Length);
   static int onHeaderName(http_parser *Parser, const char *At,
@@ -82,8 +99,12 @@
   static int onMessageComplete(http_parser *Parser);
   static message_parser &self(http_parser *Parser);
 
-  /// Returns false if the limit is exceeded.
+  /// Returns false if a limit is exceeded.
   bool countHeaderBytes(std::size_t Length);
+  /// Ends the header line that has begun, if there is one.
+  void endHeaderLine();
+  /// Charges a complete request for what is held while it runs.
+  bool chargeRun();
   /// Counts \p Length more bytes of the body. Sets Failure and returns false if
   /// a limit is exceeded.
   bool countBodyBytes(std::size_t Length);
@@ -94,16 +115,19 @@
   kind Kind;
   parser_limits Limits;
   std::string Target;
-  header_list Headers;
+  /// Header lines as in header_list::text(); the last one may be incomplete.
+  std::string HeaderText;
   std::string Body;
   std::size_t HeaderBytes = 0;
   /// Announced length of the body; 0 if none is announced.
   std::size_t ExpectedBytes = 0;
-  body_share BodyShare;
+  framework::memory_charge HeadCharge;
+  framework::memory_charge BodyCharge;
   std::uint64_t MessagesBegun = 0;
-  bool IsInHeaderName = false;
+  header_part Part = header_part::None;
   bool IsInMessage = false;
   bool AreHeadersComplete = false;
+  bool HasExpectHeader = false;
   bool IsComplete = false;
   bool IsHeadResponse = false;
   bool KeepAlive = true;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -10,9 +10,31 @@
 
 using framework::milliseconds;
 
-constexpr std::size_t ReadBufferBytes = std::size_t{16} << 10U;
+/// Read buffer of a connection outside bodies, which holds most heads whole,
+/// and within bodies.
+constexpr std::size_t HeadBufferBytes = std::size_t{2} << 10U;
+constexpr std::size_t BodyBufferBytes = std::size_t{16} << 10U;
+/// What an open connection takes without its requests.
+constexpr std::size_t ConnectionBytes = std::size_t{6} << 10U;
+/// Longest part of a response that is written at once, and of a body that
+/// counts as progress.
+constexpr std::size_t PartBytes = std::size_t{64} << 10U;
+/// While memory is short, a connection is closed that has held some for this
+/// time, and whose client takes longer than SlowPartTime for a part.
+constexpr kj::Duration MinHoldTime = 1 * kj::SECONDS;
+constexpr kj::Duration SlowPartTime = 400 * kj::MILLISECONDS;
+/// Time before a connection counts as idle: its next request may be on its way.
+constexpr kj::Duration MinIdleTime = 100 * kj::MILLISECONDS;
+/// Memory that is kept free for requests to come.
+constexpr std::size_t KeptFreeBytes = std::size_t{4} << 20U;
+/// Number of names in a record of an end.
+constexpr std::size_t MaxOwedNames = 8;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
+kj::ArrayPtr<const kj::byte> toBytes(std::string_view Text) {
+  return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
+}
+
 kj::Duration toDuration(milliseconds Time) {
   return Time.count() * kj::MILLISECONDS;
 }
@@ -33,7 +55,7 @@
     return ContentTooLarge;
   case parse_state::HeadersTooLarge:
     return HeadersTooLarge;
-  case parse_state::BudgetExhausted:
+  case parse_state::NoRoom:
     return ServiceUnavailable;
   default:
     return BadRequest;
@@ -48,16 +70,69 @@
 public:
   connection(server &Server, kj::AsyncIoStream &Stream)
       : Server(Server), Stream(Stream),
-        Parser(message_parser::kind::Requests, Server.Limits.Parser) {
+        Parser(message_parser::kind::Requests, Server.Limits.Parser),
+        Charge(&Server.Account, framework::memory_class::Connections) {
+    Charge.force(ConnectionBytes);
     Server.OpenConnections.push_back(this);
   }
-  ~connection() { std::erase(Server.OpenConnections, this); }
+  ~connection() {
+    std::erase(Server.OpenConnections, this);
+    if (Server.Observer.OnEnd) {
+      Server.Observer.OnEnd(record());
+    }
+  }
   KJ_DISALLOW_COPY(connection);
 
   kj::Promise<void> run() {
+    auto Closing = kj::newPromiseAndFulfiller<void>();
+    Close = kj::mv(Closing.fulfiller);
     kj::Promise<void> Reading = readLoop();
     kj::Promise<void> Responding = writeLoop();
-    return Reading.exclusiveJoin(kj::mv(Responding));
+    return Reading.exclusiveJoin(kj::mv(Responding))
+        .exclusiveJoin(kj::mv(Closing.promise));
+  }
+
+  /// Closes the connection in a later turn of the event loop.
+  void end(connection_end Reason) {
+    setEnd(Reason);
+    IsEnding = true;
+    Close->fulfill();
+  }
+  bool isEnding() const { return IsEnding; }
+
+  /// Since when no request is in progress or has begun; nothing if one is.
+  kj::Maybe<kj::TimePoint> idleSince() const {
+    if (pendingRequests() > 0 || Parser.isInsideMessage()) {
+      return nullptr;
+    }
+    return LastResponse;
+  }
+  /// When the request began that is still being read, if nothing else is in
+  /// progress.
+  kj::Maybe<kj::TimePoint> readingSince() const {
+    if (pendingRequests() > 0 || !Parser.isInsideMessage()) {
+      return nullptr;
+    }
+    return MessageBegin;
+  }
+
+  bool hasStalled(kj::TimePoint Now) const {
+    return WritingBytes > 0 &&
+           Now - LastProgress > toDuration(Server.Limits.StallTimeout);
+  }
+
+  /// Whether the client sends its request, or takes its response, slowly.
+  bool isSlow(kj::TimePoint Now) const {
+    kj::TimePoint Last = WritingBytes > 0 ? LastProgress : LastPartRead;
+    return Now - holdingSince() >= MinHoldTime && Now - Last > SlowPartTime;
+  }
+
+  /// Bytes charged for a request that is being read and a response that is
+  /// being written.
+  std::size_t heldBytes() const { return Parser.chargedBytes() + WritingBytes; }
+  /// Since when it holds them.
+  kj::TimePoint holdingSince() const {
+    return WritingBytes > 0 ? WriteBegin : MessageBegin;
   }
 
   /// Returns the number of requests that were read and have no response yet.
@@ -83,12 +158,42 @@
   struct pending_response {
     kj::Promise<response> Response;
     bool IsHead = false;
+    std::string Name = {};
   };
 
+  /// Keeps the first reason that is set.
+  void setEnd(connection_end Reason) {
+    if (End == connection_end::ServerEnded) {
+      End = Reason;
+    }
+  }
+
+  connection_record record() const {
+    connection_record Record{End, pendingRequests(), "", heldBytes()};
+    auto AddName = [&Record](const std::string &Name) {
+      Record.OwedNames += (Record.OwedNames.empty() ? "" : ",") + Name;
+    };
+    if (Writing) {
+      AddName(WritingName);
+    }
+    for (std::size_t I = 0; I < std::min(Pending.size(), MaxOwedNames); ++I) {
+      AddName(Pending[I].Name);
+    }
+    return Record;
+  }
+
+  /// Makes the read buffer as large as the next read needs it.
+  void fitReadBuffer() {
+    bool IsInBody = Parser.isInsideMessage() && !Parser.isInsideHeaders();
+    std::size_t Size = IsInBody ? BodyBufferBytes : HeadBufferBytes;
+    if (ReadBuffer.size() != Size) {
+      ReadBuffer = std::vector<char>(Size);
+    }
+  }
+
   /// Reads and starts requests. Resolves if the client closes the connection,
   /// which cancels the pending requests; otherwise writeLoop closes it.
   task<void> readLoop() {
-    std::array<char, ReadBufferBytes> Buffer;
     while (!InputFinished) {
       while (pendingRequests() >= Server.Limits.MaxPipelined) {
         co_await Server.Timer.afterDelay(1 * kj::MILLISECONDS);
@@ -99,8 +204,9 @@
       }
       bool TimedOut = false;
       std::size_t BytesRead = 0;
+      fitReadBuffer();
       kj::Promise<std::size_t> Reading =
-          Stream.tryRead(Buffer.data(), 1, Buffer.size());
+          Stream.tryRead(ReadBuffer.data(), 1, ReadBuffer.size());
       try {
         BytesRead = co_await withTimeout(kj::mv(Reading));
       } catch (const kj::Exception &Exception) {
@@ -109,19 +215,30 @@
       if (TimedOut) {
         handleTimeout();
       } else if (BytesRead == 0) {
+        setEnd(connection_end::ClientClosed);
         co_return;
       } else {
         IsLastRequest = Server.Draining;
-        Unparsed.assign(Buffer.data(), BytesRead);
+        Unparsed = {ReadBuffer.data(), BytesRead};
         parseInput();
+        noteReadProgress();
       }
     }
     co_await discardInput();
+    setEnd(connection_end::ClientClosed);
+  }
+
+  void noteReadProgress() {
+    std::size_t Bytes = Parser.chargedBytes();
+    if (Bytes >= BytesAtPart + PartBytes) {
+      BytesAtPart = Bytes;
+      LastPartRead = Server.Timer.now();
+    }
   }
 
   /// Reads and discards input until the client closes the connection.
   task<void> discardInput() {
-    std::array<char, ReadBufferBytes> Buffer;
+    std::array<char, HeadBufferBytes> Buffer;
     std::size_t BytesRead = 1;
     while (BytesRead > 0) {
       try {
@@ -182,10 +299,11 @@
       std::size_t Consumed = 0;
       std::uint64_t Begun = Parser.messagesBegun();
       parse_state State = Parser.feed(Unparsed, Consumed);
-      Unparsed.erase(0, Consumed);
+      Unparsed.remove_prefix(Consumed);
       if (Parser.messagesBegun() != Begun) {
-        HeaderDeadline =
-            Server.Timer.now() + toDuration(Server.Limits.HeaderTimeout);
+        MessageBegin = LastPartRead = Server.Timer.now();
+        BytesAtPart = 0;
+        HeaderDeadline = MessageBegin + toDuration(Server.Limits.HeaderTimeout);
       }
       if (State == parse_state::Incomplete) {
         sendContinue();
@@ -218,7 +336,9 @@
     MayBeIdle = true;
     bool IsHead = Request.Method == "HEAD";
     InputFinished |= !Request.KeepAlive || IsLastRequest;
-    enqueue({Server.Handler(kj::mv(Request)), IsHead});
+    std::string Name =
+        Server.Observer.NameOf ? Server.Observer.NameOf(Request) : "";
+    enqueue({Server.Handler(kj::mv(Request)), IsHead, kj::mv(Name)});
   }
 
   void enqueue(pending_response Response) {
@@ -243,10 +363,13 @@
       pending_response Next = kj::mv(Pending.front());
       Pending.pop_front();
       Writing = true;
+      WritingName = Next.Name;
       co_await writeResponse(kj::mv(Next));
       Writing = false;
+      WritingBytes = 0;
       LastResponse = Server.Timer.now();
     }
+    setEnd(connection_end::Finished);
     co_await linger();
   }
 
@@ -261,8 +384,34 @@
       Response.Status = BadGateway;
     }
     bool IsLast = InputFinished && Pending.empty();
-    std::string Text = formatResponse(Response, IsLast, Next.IsHead);
-    co_await Stream.write(Text.data(), Text.size());
+    const std::string Head = formatResponseHead(Response, IsLast);
+    bool HasBody = !Next.IsHead && mayHaveBody(Response.Status);
+    const std::string_view Body =
+        HasBody ? std::string_view(Response.Body.text()) : std::string_view();
+    WriteBegin = LastProgress = Server.Timer.now();
+    WritingBytes = Head.size() + Body.size();
+    try {
+      co_await write(Head, Body);
+    } catch (const kj::Exception &) {
+      setEnd(connection_end::WriteFailed);
+      throw;
+    }
+  }
+
+  /// Writes the head with the first part of the body, and then the rest in
+  /// parts, so that progress shows.
+  task<void> write(std::string_view Head, std::string_view Body) {
+    std::string_view First = Body.substr(0, PartBytes);
+    std::array<kj::ArrayPtr<const kj::byte>, 2> Pieces{toBytes(Head),
+                                                       toBytes(First)};
+    co_await Stream.write(
+        kj::arrayPtr(Pieces.data(), First.empty() ? 1 : Pieces.size()));
+    for (Body.remove_prefix(First.size()); !Body.empty();
+         Body.remove_prefix(First.size())) {
+      LastProgress = Server.Timer.now();
+      First = Body.substr(0, PartBytes);
+      co_await Stream.write(First.data(), First.size());
+    }
   }
 
   task<void> linger() {
@@ -273,8 +422,15 @@
   server &Server;
   kj::AsyncIoStream &Stream;
   message_parser Parser;
-  /// Input that was read and not parsed yet.
-  std::string Unparsed;
+  framework::memory_charge Charge;
+  std::vector<char> ReadBuffer;
+  /// Input in ReadBuffer that was not parsed yet.
+  std::string_view Unparsed;
+  /// When the request that was begun last began.
+  kj::TimePoint MessageBegin = Server.Timer.now();
+  /// When the last part of its body was complete, and its length then.
+  kj::TimePoint LastPartRead = Server.Timer.now();
+  std::size_t BytesAtPart = 0;
   /// When the headers of the current request must be complete.
   kj::TimePoint HeaderDeadline = kj::origin<kj::TimePoint>();
   /// When the last response was written, or the connection was accepted.
@@ -286,15 +442,26 @@
   /// Set by the first request, or by the idle timeout before one.
   bool MayBeIdle = false;
   bool Writing = false;
+  std::string WritingName;
+  /// Length of the response that is being written; 0 while it isn't complete.
+  std::size_t WritingBytes = 0;
+  kj::TimePoint WriteBegin = kj::origin<kj::TimePoint>();
+  /// When the client last took a part of it.
+  kj::TimePoint LastProgress = kj::origin<kj::TimePoint>();
+  kj::Own<kj::PromiseFulfiller<void>> Close;
+  bool IsEnding = false;
+  connection_end End = connection_end::ServerEnded;
   /// The connection is draining, and the next request is its last one.
   bool IsLastRequest = false;
   /// No further request of this connection is started.
   bool InputFinished = false;
 };
 
-server::server(kj::Timer &Timer, request_handler Handler)
-    : Timer(Timer), Handler(std::move(Handler)), Tasks(*this) {
-  Limits.Parser.Budget = &RequestBodies;
+server::server(kj::Timer &Timer, request_handler Handler,
+               framework::memory_account &Account, server_observer Observer)
+    : Timer(Timer), Handler(std::move(Handler)), Account(Account),
+      Observer(std::move(Observer)), Tasks(*this) {
+  Limits.Parser.Account = &Account;
 }
 
 kj::Promise<void> server::listen(kj::ConnectionReceiver &Port) {
@@ -306,9 +473,95 @@
 }
 
 task<void> server::acceptLoop(kj::ConnectionReceiver &Port) {
+  constexpr kj::Duration PlacePollInterval = 5 * kj::MILLISECONDS;
   while (true) {
     kj::Own<kj::AsyncIoStream> Stream = co_await Port.accept();
     Tasks.add(serve(kj::mv(Stream)));
+    // Where all connections are in use, further ones wait in the kernel.
+    while (activeConnections() > Limits.MaxConnections && !closeForPlace()) {
+      co_await Timer.afterDelay(PlacePollInterval);
+    }
+  }
+}
+
+std::size_t server::activeConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(OpenConnections.begin(), OpenConnections.end(),
+                    [](const connection *Each) { return !Each->isEnding(); }));
+}
+
+bool server::closeForPlace() {
+  auto Oldest = [this](kj::Maybe<kj::TimePoint> (connection::*SinceOf)()
+                           const) {
+    connection *Found = nullptr;
+    kj::TimePoint Earliest = Timer.now() - MinIdleTime;
+    for (connection *Each : OpenConnections) {
+      KJ_IF_MAYBE (Since, (Each->*SinceOf)()) {
+        if (!Each->isEnding() && *Since < Earliest) {
+          Found = Each;
+          Earliest = *Since;
+        }
+      }
+    }
+    return Found;
+  };
+  connection *Victim = Oldest(&connection::idleSince);
+  if (Victim == nullptr) {
+    Victim = Oldest(&connection::readingSince);
+  }
+  if (Victim == nullptr) {
+    return false;
+  }
+  Victim->end(connection_end::PlaceNeeded);
+  return true;
+}
+
+void server::closeHarmfulConnections() {
+  kj::TimePoint Now = Timer.now();
+  for (connection *Each : OpenConnections) {
+    if (!Each->isEnding() && Each->hasStalled(Now)) {
+      Each->end(connection_end::ReaderStalled);
+    }
+  }
+  closeForMemory();
+}
+
+void server::closeForMemory() {
+  bool LongItemWasDenied = Account.LongDenials != SeenLongDenials;
+  SeenLongDenials = Account.LongDenials;
+  std::size_t Free = framework::freeBytes(Account);
+  if (!LongItemWasDenied && Free >= KeptFreeBytes) {
+    return;
+  }
+  struct holder {
+    connection *Connection;
+    double ByteSeconds;
+  };
+  kj::TimePoint Now = Timer.now();
+  std::vector<holder> Holders;
+  for (connection *Each : OpenConnections) {
+    if (!Each->isEnding() && Each->heldBytes() > 0 && Each->isSlow(Now)) {
+      auto Milliseconds =
+          static_cast<double>((Now - Each->holdingSince()) / kj::MILLISECONDS);
+      Holders.push_back(
+          {Each, Milliseconds * static_cast<double>(Each->heldBytes())});
+    }
+  }
+  std::sort(Holders.begin(), Holders.end(),
+            [](const holder &Left, const holder &Right) {
+              return Left.ByteSeconds > Right.ByteSeconds;
+            });
+  // A long item that found no room needs that of one other at least.
+  bool FreesNoneYet = true;
+  for (const holder &Holder : Holders) {
+    bool IsEnough =
+        Free >= KeptFreeBytes && !(LongItemWasDenied && FreesNoneYet);
+    if (IsEnough) {
+      break;
+    }
+    FreesNoneYet = false;
+    Free += Holder.Connection->heldBytes();
+    Holder.Connection->end(connection_end::MemoryShort);
   }
 }
 
--- a/src/http/sharedbody.h
+++ b/src/http/sharedbody.h
@@ -1,8 +1,8 @@
 /// \file
-/// Bodies of requests, which are passed on unchanged.
+/// Bodies of messages, which are passed on unchanged.
 #pragma once
 
-#include "http/bodybudget.h"
+#include "framework/memoryaccount.h"
 
 #include <memory>
 #include <string>
@@ -10,18 +10,21 @@
 
 namespace figplank::http {
 
-/// An immutable body. Copies of a request share it, so that a long body is in
-/// memory once, whatever becomes of the request. It counts against its budget
-/// until the last of them is gone.
+/// An immutable body. Copies of a message share it, so that a long body is in
+/// memory once, whatever becomes of the message. It is charged until the last
+/// of them is gone.
 class shared_body {
 public:
   shared_body() = default;
   shared_body(std::string Bytes)
-      : shared_body(std::move(Bytes), body_share(nullptr)) {}
+      : shared_body(std::move(Bytes),
+                    framework::memory_charge(nullptr,
+                                             framework::memory_class::Bodies)) {
+  }
   shared_body(const char *Bytes) : shared_body(std::string(Bytes)) {}
-  shared_body(std::string Bytes, body_share Share)
+  shared_body(std::string Bytes, framework::memory_charge Charge)
       : Content(std::make_shared<const content>(std::move(Bytes),
-                                                std::move(Share))) {}
+                                                std::move(Charge))) {}
 
   const std::string &text() const {
     static const std::string Empty;
@@ -30,14 +33,18 @@
   std::size_t size() const { return text().size(); }
   bool empty() const { return text().empty(); }
   void clear() { Content = nullptr; }
+  /// Whether an account is charged for the body.
+  bool isCharged() const {
+    return Content != nullptr && Content->Charge.bytes() > 0;
+  }
 
 private:
   struct content {
-    content(std::string Bytes, body_share Share)
-        : Bytes(std::move(Bytes)), Share(std::move(Share)) {}
+    content(std::string Bytes, framework::memory_charge Charge)
+        : Bytes(std::move(Bytes)), Charge(std::move(Charge)) {}
 
     std::string Bytes;
-    body_share Share;
+    framework::memory_charge Charge;
   };
 
   std::shared_ptr<const content> Content;
--- a/src/http/tests/client_tests.cpp
+++ b/src/http/tests/client_tests.cpp
@@ -16,7 +16,7 @@
 
 response_filter acceptsOnly(const std::string &Id) {
   return [Id](const response &Response) {
-    return *findHeader(Response.Headers, "Id") == Id;
+    return findHeader(Response.Headers, "Id") == Id;
   };
 }
 
@@ -24,7 +24,8 @@
 struct client_session {
   kj::AsyncIoContext Io = kj::setupAsyncIo();
   kj::TwoWayPipe Pipe = kj::newTwoWayPipe();
-  client_connection Connection{kj::mv(Pipe.ends[0]), {}};
+  client_connection Connection{
+      kj::mv(Pipe.ends[0]), {}, Io.provider->getTimer()};
 
   /// Starts an exchange, replies with \p Text, and then closes the server side
   /// if \p Close is set. Returns the result of the exchange.
@@ -63,14 +64,14 @@
   exchange_result Result = exchange(
       "b", responseText("a", "stray") + responseText("b", "own"), false);
   CHECK(Result.FinalResponse.has_value());
-  STRCMP_EQUAL("own", Result.FinalResponse->Body.c_str());
+  STRCMP_EQUAL("own", Result.FinalResponse->Body.text().c_str());
   CHECK(Connection.isUsable());
 }
 
 TEST(Client, BytesAfterTheResponseMakeTheConnectionUnusable) {
   exchange_result Result =
       exchange("a", responseText("a", "own") + "extra", false);
-  STRCMP_EQUAL("own", Result.FinalResponse->Body.c_str());
+  STRCMP_EQUAL("own", Result.FinalResponse->Body.text().c_str());
   CHECK_FALSE(Connection.isUsable());
 }
 
@@ -84,7 +85,7 @@
 TEST(Client, ResponseWithoutLengthEndsWithTheConnection) {
   exchange_result Result =
       exchange("a", "HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it", true);
-  STRCMP_EQUAL("all of it", Result.FinalResponse->Body.c_str());
+  STRCMP_EQUAL("all of it", Result.FinalResponse->Body.text().c_str());
   CHECK_FALSE(Connection.isUsable());
 }
 
--- a/src/http/tests/message_tests.cpp
+++ b/src/http/tests/message_tests.cpp
@@ -12,7 +12,7 @@
                       {"Transfer-Encoding", "chunked"},    {"X-Kept", "2"}};
   removeHopByHopHeaders(Headers);
   LONGS_EQUAL(1, Headers.size());
-  STRCMP_EQUAL("X-Kept", Headers[0].Name.c_str());
+  STRCMP_EQUAL("X-Kept: 2\r\n", Headers.text().c_str());
 }
 
 TEST(Message, RequestIsSerialisedWithItsContentLength) {
@@ -22,15 +22,15 @@
                (formatRequestHead(Request) + Request.Body.text()).c_str());
 }
 
-TEST(Message, ResponseToHeadHasContentLengthButNoBody) {
+TEST(Message, ResponseHeadHasTheContentLength) {
   response Response{200, {}, "abc", true};
   STRCMP_EQUAL("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n",
-               formatResponse(Response, false, true).c_str());
+               formatResponseHead(Response, false).c_str());
 }
 
 TEST(Message, CloseAddsTheConnectionHeader) {
   response Response{503, {}, "", true};
   STRCMP_EQUAL("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
                "Connection: close\r\n\r\n",
-               formatResponse(Response, true, false).c_str());
+               formatResponseHead(Response, true).c_str());
 }
--- a/src/http/tests/parser_tests.cpp
+++ b/src/http/tests/parser_tests.cpp
@@ -48,7 +48,7 @@
   CHECK(State == parse_state::Complete);
   request Request = Parser.takeRequest();
   STRCMP_EQUAL("abcde", Request.Body.text().c_str());
-  STRCMP_EQUAL("v w", findHeader(Request.Headers, "x-name")->c_str());
+  CHECK(findHeader(Request.Headers, "x-name") == "v w");
 }
 
 TEST(Parser, ContentLengthWithChunkedEncodingIsMalformed) {
@@ -82,7 +82,7 @@
         parse_state::Incomplete);
   CHECK(Parser.finish() == parse_state::Complete);
   response Response = Parser.takeResponse();
-  STRCMP_EQUAL("part", Response.Body.c_str());
+  STRCMP_EQUAL("part", Response.Body.text().c_str());
   CHECK_FALSE(Response.KeepAlive);
 }
 
@@ -104,14 +104,15 @@
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 "1\r\na\r\n0\r\nX-Later: 1\r\n\r\n") == parse_state::Complete);
   response Response = Parser.takeResponse();
-  POINTERS_EQUAL(nullptr, findHeader(Response.Headers, "X-Later"));
-  STRCMP_EQUAL("a", Response.Body.c_str());
+  CHECK_FALSE(findHeader(Response.Headers, "X-Later").has_value());
+  STRCMP_EQUAL("a", Response.Body.text().c_str());
 }
 
-TEST(Parser, LargeBodiesShareABudget) {
-  body_budget Budget{std::size_t{1} << 20U};
+TEST(Parser, LargeBodiesShareAnAccount) {
+  figplank::framework::memory_account Account;
+  Account.MaxLongBytes = std::size_t{1} << 20U;
   parser_limits Limits;
-  Limits.Budget = &Budget;
+  Limits.Account = &Account;
   message_parser Endless(Responses, Limits);
   const std::string Chunk = "400\r\n" + std::string(0x400, 'x') + "\r\n";
   parse_state State =
@@ -119,34 +120,34 @@
   for (int I = 0; I < 2'000 && State == parse_state::Incomplete; ++I) {
     State = feedAll(Endless, Chunk);
   }
-  CHECK(State == parse_state::BudgetExhausted);
-  CHECK(Budget.UsedBytes <= Budget.MaxBytes);
+  CHECK(State == parse_state::NoRoom);
+  CHECK(Account.LongBytes <= Account.MaxLongBytes);
   {
     message_parser Short(Responses, Limits);
     CHECK(feedAll(Short, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody") ==
           parse_state::Complete);
     message_parser Large(Responses, Limits);
     CHECK(feedAll(Large, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
-                             std::string(200'000, 'x')) ==
-          parse_state::BudgetExhausted);
+                             std::string(200'000, 'x')) == parse_state::NoRoom);
   }
 }
 
-TEST(Parser, BudgetIsReleasedWithTheBody) {
-  body_budget Budget{std::size_t{1} << 20U};
+TEST(Parser, ChargeEndsWithTheBody) {
+  figplank::framework::memory_account Account;
+  Account.MaxLongBytes = std::size_t{1} << 20U;
   parser_limits Limits;
-  Limits.Budget = &Budget;
+  Limits.Account = &Account;
   {
     message_parser Parser(Responses, Limits);
     CHECK(feedAll(Parser, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
                               std::string(200'000, 'x')) ==
           parse_state::Complete);
-    CHECK(Budget.UsedBytes >= 200'000);
+    CHECK(figplank::framework::usedBytes(Account) >= 200'000);
     (void)Parser.takeResponse();
-    LONGS_EQUAL(0, Budget.UsedBytes);
+    LONGS_EQUAL(0, figplank::framework::usedBytes(Account));
     feedAll(Parser, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
                         std::string(100'000, 'x'));
-    CHECK(Budget.UsedBytes >= 100'000);
+    CHECK(figplank::framework::usedBytes(Account) >= 100'000);
   }
-  LONGS_EQUAL(0, Budget.UsedBytes);
+  LONGS_EQUAL(0, figplank::framework::usedBytes(Account));
 }
--- a/src/http/tests/server_tests.cpp
+++ b/src/http/tests/server_tests.cpp
@@ -1,79 +1,12 @@
-#include "http/server.h"
+#include "serversession.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <map>
 #include <memory>
-#include <set>
 
 using namespace figplank;
 using namespace figplank::http;
-
-namespace {
-
-/// A handler that keeps requests pending until the test responds to them. All
-/// members identify a request by its target.
-struct fake_handler {
-  std::vector<std::string> Started;
-  std::vector<std::string> Cancelled;
-  std::set<std::string> Responded;
-  std::map<std::string, kj::Own<kj::PromiseFulfiller<response>>> Pending;
-
-  kj::Promise<response> handle(const request &Request) {
-    Started.push_back(Request.Target);
-    auto Pair = kj::newPromiseAndFulfiller<response>();
-    Pending[Request.Target] = kj::mv(Pair.fulfiller);
-    std::string Target = Request.Target;
-    return Pair.promise.attach(kj::defer([this, Target]() {
-      if (!Responded.contains(Target)) {
-        Cancelled.push_back(Target);
-      }
-    }));
-  }
-
-  void respond(const std::string &Target, const std::string &Body) {
-    Responded.insert(Target);
-    response Response;
-    Response.Status = 200;
-    Response.Body = Body;
-    Pending[Target]->fulfill(kj::mv(Response));
-  }
-};
-
-std::string getRequestText(const std::string &Target) {
-  return "GET " + Target + " HTTP/1.1\r\nHost: h\r\n\r\n";
-}
-
-/// A server and a client that are connected by a pipe.
-struct server_session {
-  kj::AsyncIoContext Io = kj::setupAsyncIo();
-  fake_handler Handler;
-  server Server{Io.provider->getTimer(), [this](const request &Request) {
-                  return Handler.handle(Request);
-                }};
-  kj::TwoWayPipe Pipe = kj::newTwoWayPipe();
-  kj::Promise<void> Serving =
-      Server.serveStream(kj::mv(Pipe.ends[0])).eagerlyEvaluate(nullptr);
-
-  void send(const std::string &Text) {
-    Pipe.ends[1]->write(Text.data(), Text.size()).wait(Io.waitScope);
-  }
-  void runEventLoop() {
-    Io.provider->getTimer().afterDelay(2 * kj::MILLISECONDS).wait(Io.waitScope);
-  }
-  /// Returns the bytes that have arrived at the client.
-  std::string received() {
-    char Buffer[4096];
-    kj::Promise<std::size_t> Reading =
-        Pipe.ends[1]->tryRead(Buffer, 1, sizeof Buffer);
-    if (!Reading.poll(Io.waitScope)) {
-      return "";
-    }
-    return {Buffer, Reading.wait(Io.waitScope)};
-  }
-};
-
-} // namespace
+using namespace figplank::http::tests;
 
 TEST_GROUP(Server) {
   std::unique_ptr<server_session> Session = std::make_unique<server_session>();
@@ -114,6 +47,17 @@
   CHECK(First < Second);
 }
 
+TEST(Server, ResponseToHeadHasContentLengthButNoBody) {
+  send("HEAD /one HTTP/1.1\r\n\r\n" + getRequestText("/two"));
+  runEventLoop();
+  Handler.respond("/one", "abc");
+  Handler.respond("/two", "second");
+  std::string Text = receivedInTurns();
+  CHECK(Text.starts_with("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n"
+                         "HTTP/1.1 200 OK\r\n"));
+  CHECK(Text.ends_with("second"));
+}
+
 TEST(Server, ClosingTheConnectionCancelsItsRequests) {
   send(getRequestText("/one") + getRequestText("/two"));
   runEventLoop();
--- a/src/node/backend.cpp
+++ b/src/node/backend.cpp
@@ -176,9 +176,10 @@
   co_return kj::mv(Answer);
 }
 
-task<std::string> backend_client::readBody(kj::AsyncInputStream &Body) {
+task<http::shared_body> backend_client::readBody(kj::AsyncInputStream &Body) {
   constexpr std::size_t BlockBytes = std::size_t{16} << 10U;
-  http::body_share Share(&AnswerBodies);
+  framework::memory_charge Charge(&Node.Memory,
+                                  framework::memory_class::Answers);
   std::string Bytes;
   std::size_t BytesRead = 1;
   while (BytesRead > 0) {
@@ -187,9 +188,9 @@
     BytesRead = co_await Body.tryRead(Bytes.data() + Size, 1, BlockBytes);
     Bytes.resize(Size + BytesRead);
     KJ_REQUIRE(Bytes.size() <= MaxAnswerBytes, "answer too long");
-    KJ_REQUIRE(Share.growTo(Bytes.size()), "no room for the answer");
+    KJ_REQUIRE(Charge.growTo(Bytes.size()), "no room for the answer");
   }
-  co_return kj::mv(Bytes);
+  co_return http::shared_body(std::move(Bytes), std::move(Charge));
 }
 
 } // namespace figplank::node
--- a/src/node/backend.h
+++ b/src/node/backend.h
@@ -6,7 +6,6 @@
 /// the wrong request.
 #pragma once
 
-#include "http/bodybudget.h"
 #include "http/message.h"
 #include "node/runtime.h"
 
@@ -51,7 +50,7 @@
   std::uint16_t Status = 0;
   std::string ContentType;
   http::header_list Headers;
-  std::string Body;
+  http::shared_body Body;
   framework::milliseconds RetryAfter{0};
   /// The backend server announced that it is draining.
   bool Draining = false;
@@ -121,15 +120,13 @@
   task<connection> acquire();
   task<backend_answer> exchange(connection &Connection,
                                 const backend_request &Request);
-  /// Reads the body of an answer. Fails if it is too long, or if the budget of
-  /// all answers has no room for it.
-  task<std::string> readBody(kj::AsyncInputStream &Body);
+  /// Reads the body of an answer. Fails if it is too long, or if the memory
+  /// account has no room for it.
+  task<http::shared_body> readBody(kj::AsyncInputStream &Body);
 
   node_runtime &Node;
   backend_headers Headers;
   std::deque<connection> IdleConnections;
-  /// Incomplete answers of all connections.
-  http::body_budget AnswerBodies{std::size_t{32} << 20U};
   std::unique_ptr<forward_pool> ForwardPool;
   std::uint64_t ConnectionsOpened = 0;
 };
--- a/src/node/callerhttp.cpp
+++ b/src/node/callerhttp.cpp
@@ -358,7 +358,8 @@
   Sent.set(Headers.Outcome,
            kj::heapString(framework::nameOf(Answer.Outcome).data()));
   const bool HasResult = Answer.Status != 0;
-  std::string Body = HasResult ? Answer.Body : refusalBody(Answer, Id);
+  const http::shared_body Body =
+      HasResult ? Answer.Body : http::shared_body(refusalBody(Answer, Id));
   if (Answer.Reason != refusal_reason::None) {
     Sent.set(Headers.Reason,
              kj::heapString(framework::nameOf(Answer.Reason).data()));
@@ -376,7 +377,7 @@
   auto Stream = Reply.send(Status, Status < 300 ? "OK" : "Refused", Sent,
                            std::uint64_t{Body.size()});
   if (!Body.empty()) {
-    co_await Stream->write(Body.data(), Body.size());
+    co_await Stream->write(Body.text().data(), Body.size());
   }
 }
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -1,5 +1,6 @@
 #include "node/daemon.h"
 
+#include "framework/heaptrimmer.h"
 #include "framework/kjlog.h"
 #include "framework/listener.h"
 #include "node/admin.h"
@@ -25,6 +26,13 @@
 /// Time to write out the last responses before the process exits.
 constexpr milliseconds ResponseFlushTime{100};
 constexpr int FailureExitCode = 1;
+/// Connections to the port that the platform probes.
+constexpr std::size_t MaxReadyConnections = 32;
+/// Quarters of the descriptors that callers' connections may take. The rest is
+/// for the store, the peers, the backend server and the other ports.
+constexpr std::size_t CallerDescriptorQuarters = 3;
+/// How often connections are searched for those that hold too much.
+constexpr milliseconds HarmCheckInterval{200};
 
 /// The components of a running node, in order of construction.
 struct node_parts {
@@ -44,9 +52,15 @@
               return Callers.serveConnection(Stream);
             },
             httpSettings(Callers)),
-        Ready(Node.Timer, [this, &Deployment](const http::request &Request) {
-          return answerReady(Deployment, Request);
-        }) {
+        Ready(
+            Node.Timer,
+            [this, &Deployment](const http::request &Request) {
+              return answerReady(Deployment, Request);
+            },
+            Node.Memory) {
+    http::server_limits ReadyLimits;
+    ReadyLimits.MaxConnections = MaxReadyConnections;
+    Ready.setLimits(ReadyLimits);
     if (Deployment.Dialect != nullptr) {
       Gateway = kj::heap<gateway>(Node, Dispatcher, Upstream.Contexts,
                                   *Deployment.Dialect);
@@ -92,6 +106,7 @@
   kj::HttpServer Http;
   http::server Ready;
   kj::Own<gateway> Gateway;
+  framework::heap_trimmer Trimmer;
   /// Accepts connections for requests of routes. Replacing the promise closes
   /// the port.
   kj::Promise<void> RouteListening = kj::READY_NOW;
@@ -105,6 +120,8 @@
   Limits.Parser = {Published.MaxHeaderBytes, Published.MaxBodyBytes};
   Limits.HeaderTimeout = Published.HeaderTimeout;
   Limits.IdleTimeout = Published.IdleTimeout;
+  Limits.MaxConnections =
+      Parts.Node.Settings.MaxDescriptors / 4 * CallerDescriptorQuarters;
   if (Parts.Gateway.get() != nullptr) {
     Parts.Gateway->Server.setLimits(Limits);
   }
@@ -131,6 +148,27 @@
       static_cast<double>(Node.Store.Catalog.Routing.Version));
   Node.Metrics.UpdateAge->Set(
       framework::inSeconds(Parts.Dissemination.updateAge(Now)));
+  const framework::memory_account &Memory = Node.Memory;
+  for (std::size_t I = 0; I < Memory.UsedBytes.size(); ++I) {
+    Node.Metrics.Memory.Used[I]->Set(static_cast<double>(Memory.UsedBytes[I]));
+    Node.Metrics.Memory.Denials[I]->Set(static_cast<double>(Memory.Denials[I]));
+  }
+  Node.Metrics.Memory.Free->Set(
+      static_cast<double>(framework::freeBytes(Memory)));
+  if (Parts.Gateway.get() != nullptr) {
+    Node.Metrics.Connections->Set(
+        static_cast<double>(Parts.Gateway->Server.openConnections()));
+  }
+}
+
+/// Closes callers' connections that hold too much.
+task<void> harmCheckLoop(node_parts &Parts) {
+  while (Parts.Gateway.get() != nullptr) {
+    co_await Parts.Node.Timer.afterDelay(toDuration(HarmCheckInterval));
+    Parts.Gateway->Server.closeHarmfulConnections();
+    Parts.Trimmer.trim(framework::usedBytes(Parts.Node.Memory));
+  }
+  co_await kj::Promise<void>(kj::NEVER_DONE);
 }
 
 void tick(node_parts &Parts) {
@@ -339,8 +377,9 @@
     kj::Promise<void> Reloads = reloadLoop(Parts, Deployment, Io.unixEventPort);
     kj::Promise<void> Signal = awaitSignal(Io.unixEventPort);
     // Ports and ticks keep running until the node has drained.
-    kj::Promise<void> Serving =
-        Listening.exclusiveJoin(kj::mv(Ticks)).exclusiveJoin(kj::mv(Reloads));
+    kj::Promise<void> Serving = Listening.exclusiveJoin(kj::mv(Ticks))
+                                    .exclusiveJoin(kj::mv(Reloads))
+                                    .exclusiveJoin(harmCheckLoop(Parts));
     kj::Promise<void> Draining =
         Signal.then([&Parts]() -> kj::Promise<void> { return drain(Parts); });
     Draining.exclusiveJoin(kj::mv(Serving)).wait(Io.waitScope);
--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -37,6 +37,12 @@
   return Request.Idempotent || hasHome(Request);
 }
 
+void giveUpAnswerRoom(const work_request &Request) {
+  if (Request.AnswerRoom != nullptr) {
+    Request.AnswerRoom->release();
+  }
+}
+
 /// Maximum number of upstreams that a request of a route is sent to without
 /// using its retry budget, as long as it reaches no backend server.
 constexpr std::size_t MaxUpstreamsTried = 4;
@@ -302,6 +308,8 @@
   if (Address == Node.Settings.RpcAddress) {
     const bool Idempotent = Request.Idempotent;
     const monotonic_time Deadline = Request.Deadline;
+    // This node charges the answer as it comes from the server.
+    giveUpAnswerRoom(Request);
     try {
       kj::Promise<work_answer> Running = LocalUpstream.execute(kj::mv(Request));
       kj::Promise<work_answer> Timed = Node.Timer.timeoutAfter(
@@ -339,6 +347,18 @@
   call_failure Failure = Connected.Error.Failure;
   KJ_IF_MAYBE (Connection, Connected.Value) {
     EverAnswered = (*Connection)->EverAnswered;
+    framework::memory_charge Charge(&Node.Messages,
+                                    framework::memory_class::Bodies);
+    bool InTime = co_await awaitMessageRoom(Node, Charge, Request.Body.size(),
+                                            Request.Deadline);
+    if (!InTime) {
+      Ended = true;
+      routing::recordEnd(Node.Upstreams, Address);
+      Result.Answer = makeRefusal(outcome::NotRun, refusal_reason::MemoryShort);
+      Result.Answer.UnusedTries = Request.ExtraTries;
+      Result.Answered = true;
+      co_return kj::mv(Result);
+    }
     auto Message = KJ_ASSERT_NONNULL((*Connection)->Client).runRequest();
     std::uint64_t Attempt = NextAttempt++;
     writeRequest(Message.initRequest(), Request, Attempt,
@@ -347,8 +367,9 @@
         kj::mv(*Connection), kj::mv(Message), Request.Deadline,
         isRepeatable(Request) ? silence_policy::Fail : silence_policy::Wait);
     Failure = Called.Error.Failure;
+    giveUpAnswerRoom(Request);
     KJ_IF_MAYBE (Response, Called.Value) {
-      auto Answer = readAnswer(Response->getAnswer(), Attempt);
+      auto Answer = readAnswer(Response->getAnswer(), Attempt, Node.Memory);
       if (Answer) {
         Result.Answer = kj::mv(*Answer);
         Result.Answered = true;
--- a/src/node/forwardpool.cpp
+++ b/src/node/forwardpool.cpp
@@ -28,16 +28,16 @@
 /// Idle time up to which a connection may be reused, from the
 /// `timeout=SECONDS` of the Keep-Alive header.
 milliseconds maxIdleTime(const http::header_list &Headers) {
-  const std::string *KeepAlive = http::findHeader(Headers, "Keep-Alive");
+  const std::string_view KeepAlive =
+      http::findHeader(Headers, "Keep-Alive").value_or(std::string_view());
   constexpr std::string_view Parameter = "timeout=";
-  std::size_t Found =
-      KeepAlive == nullptr ? std::string::npos : KeepAlive->find(Parameter);
-  if (Found == std::string::npos) {
+  std::size_t Found = KeepAlive.find(Parameter);
+  if (Found == std::string_view::npos) {
     return DefaultMaxIdleTime;
   }
   std::uint32_t Seconds = 0;
-  const char *Start = KeepAlive->data() + Found + Parameter.size();
-  std::from_chars(Start, KeepAlive->data() + KeepAlive->size(), Seconds);
+  std::from_chars(KeepAlive.data() + Found + Parameter.size(),
+                  KeepAlive.data() + KeepAlive.size(), Seconds);
   milliseconds MaxIdleTime =
       milliseconds(std::int64_t{1000} * Seconds) - KeepAliveMargin;
   return std::clamp(MaxIdleTime, milliseconds(0), milliseconds(60'000));
@@ -83,9 +83,9 @@
   ++ConnectionsOpened;
   http::parser_limits Limits;
   Limits.MaxBodyBytes = MaxResponseBytes;
-  Limits.Budget = &ResponseBodies;
+  Limits.Account = &Node.Memory;
   co_return pooled_connection{
-      kj::heap<http::client_connection>(kj::mv(Stream), Limits)};
+      kj::heap<http::client_connection>(kj::mv(Stream), Limits, Node.Timer)};
 }
 
 void forward_pool::release(pooled_connection Pooled,
--- a/src/node/forwardpool.h
+++ b/src/node/forwardpool.h
@@ -53,8 +53,6 @@
 
   node_runtime &Node;
   const wire_dialect &Dialect;
-  /// Incomplete responses of all connections.
-  http::body_budget ResponseBodies{std::size_t{32} << 20U};
   std::deque<idle_connection> IdleConnections;
   std::uint64_t ConnectionsOpened = 0;
 };
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -17,6 +17,13 @@
 constexpr milliseconds StartingRetryAfter{300};
 /// Retry-After of a node that is about to exit. It covers the usual restart.
 constexpr milliseconds StoppingRetryAfter{1'000};
+/// Retry-After of a node that is short of memory. By then a client that holds
+/// much for long has been closed.
+constexpr milliseconds MemoryRetryAfter{1'000};
+/// Memory that the requests of a rank leave to those of each more urgent one.
+constexpr std::size_t RankReserveBytes = std::size_t{256} << 10U;
+/// Longest name of a request in the record of its connection's end.
+constexpr std::size_t MaxLoggedNameLength = 64;
 
 } // namespace
 
@@ -24,7 +31,15 @@
                  context_table &Contexts, const wire_dialect &Dialect)
     : Server(
           Node.Timer,
-          [this](http::request Request) { return handle(std::move(Request)); }),
+          [this](http::request Request) { return handle(std::move(Request)); },
+          Node.Memory,
+          {[&Dialect](const http::request &Request) {
+             return Dialect.ReadCallerRequest(Request.Headers)
+                 .RequestName.substr(0, MaxLoggedNameLength);
+           },
+           [this](const http::connection_record &Record) {
+             recordConnectionEnd(Record);
+           }}),
       Node(Node), Dispatcher(Dispatcher), Contexts(Contexts), Dialect(Dialect) {
   auto Pair = kj::newPromiseAndFulfiller<void>();
   Ending = kj::mv(Pair.fulfiller);
@@ -64,6 +79,7 @@
   }
   Request.LatencyObjective = Route.LatencyObjective;
   Request.Body = std::move(Received.Body);
+  Request.Charge = std::move(Received.Charge);
   Request.RootId = CallerInfo.RequestName;
   Request.Rank = Route.Rank;
   Request.Draw = Node.draw();
@@ -84,6 +100,56 @@
   return Request;
 }
 
+bool gateway::findMemory(
+    const configuration::route &Route,
+    std::shared_ptr<framework::memory_charge> &AnswerRoom) {
+  // Callers may repeat idempotent requests, so they are refused first.
+  std::size_t Reserve = RankReserveBytes * Route.Rank +
+                        (Route.Idempotent ? RankReserveBytes / 2 : 0);
+  if (framework::freeBytes(Node.Memory) < Reserve) {
+    return false;
+  }
+  auto Expected = LongAnswerBytes.find(Route.Name);
+  if (Expected == LongAnswerBytes.end()) {
+    return true;
+  }
+  AnswerRoom = std::make_shared<framework::memory_charge>(
+      &Node.Memory, framework::memory_class::Answers);
+  // An idempotent request may be repeated if its answer finds no room, and not
+  // all answers of a route are long.
+  return AnswerRoom->growTo(Expected->second) || Route.Idempotent;
+}
+
+void gateway::recordAnswerSize(const std::string &Route, std::size_t Bytes) {
+  auto Found = LongAnswerBytes.find(Route);
+  // Shorter answers lower the expected size by an eighth each.
+  std::size_t Lowered =
+      Found == LongAnswerBytes.end() ? 0 : Found->second - Found->second / 8;
+  std::size_t Expected = std::max(Bytes, Lowered);
+  if (Expected > framework::MaxShortBytes) {
+    LongAnswerBytes[Route] = Expected;
+  } else if (Found != LongAnswerBytes.end()) {
+    LongAnswerBytes.erase(Found);
+  }
+}
+
+void gateway::recordConnectionEnd(const http::connection_record &Record) {
+  bool Owing = Record.Owed > 0;
+  auto &Counters = Node.Metrics.ConnectionEnds[Owing ? 1 : 0];
+  Counters[static_cast<std::size_t>(Record.Reason)]->Increment();
+  bool IsUsual = Record.Reason == http::connection_end::Finished ||
+                 Record.Reason == http::connection_end::ClientClosed;
+  if (Owing || !IsUsual) {
+    framework::logFrequentEvent(
+        framework::log_level::Info, "connection_ended",
+        {{"reason", framework::nameOf(http::ConnectionEndNames, Record.Reason)},
+         {"owed", static_cast<std::uint64_t>(Record.Owed)},
+         {"requests", Record.OwedNames},
+         {"held_bytes", static_cast<std::uint64_t>(Record.HeldBytes)}},
+        readClocks().Monotonic);
+  }
+}
+
 void gateway::countAnswer(const std::string &Route, const work_answer &Answer,
                           monotonic_time Started) {
   route_metrics &Metrics = metricsOfRoute(Node.Metrics, Route);
@@ -118,13 +184,19 @@
   } else if (!Node.Condition.Ready || Table.Routes.empty()) {
     Reason = refusal_reason::NoConfiguration;
   } else {
-    const std::string *Host = http::findHeader(Received.Headers, "Host");
-    Route = routing::findRoute(Table, Host == nullptr ? "" : *Host,
-                               http::pathOf(Received.Target));
+    Route = routing::findRoute(
+        Table,
+        http::findHeader(Received.Headers, "Host").value_or(std::string_view()),
+        http::pathOf(Received.Target));
     if (Route == nullptr) {
       Reason = refusal_reason::UnknownRoute;
     }
   }
+  std::shared_ptr<framework::memory_charge> AnswerRoom;
+  if (Route != nullptr && !findMemory(*Route, AnswerRoom)) {
+    Reason = refusal_reason::MemoryShort;
+    RetryAfter = MemoryRetryAfter;
+  }
   work_answer Answer;
   const std::string RouteName = Route == nullptr ? "" : Route->Name;
   const milliseconds Objective =
@@ -137,7 +209,11 @@
     std::shared_ptr<call_context> Parent = findParent(CallerInfo.RequestName);
     work_request Request =
         makeRequest(std::move(Received), CallerInfo, *Route, Parent.get(), Now);
+    Request.AnswerRoom = AnswerRoom;
     Answer = co_await dispatch(kj::mv(Request), Parent);
+    if (Answer.Outcome == outcome::Completed) {
+      recordAnswerSize(RouteName, Answer.Body.size());
+    }
   }
   logAnswer({CallerInfo.RequestName, RouteName, Now, Objective,
              Node.Store.Catalog.Routing.Version},
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -41,6 +41,14 @@
   /// \p Name; null if a caller sent it.
   std::shared_ptr<call_context> findParent(const std::string &Name) const;
 
+  /// Whether the memory account leaves room for a request of \p Route, and
+  /// keeps room for its answer in \p AnswerRoom.
+  bool findMemory(const configuration::route &Route,
+                  std::shared_ptr<framework::memory_charge> &AnswerRoom);
+  /// Remembers the size of the answers of \p Route, if they are long.
+  void recordAnswerSize(const std::string &Route, std::size_t Bytes);
+  void recordConnectionEnd(const http::connection_record &Record);
+
   void countAnswer(const std::string &Route, const work_answer &Answer,
                    framework::monotonic_time Started);
 
@@ -49,6 +57,8 @@
   context_table &Contexts;
   const wire_dialect &Dialect;
   routing::weighted_round_robin RoundRobin;
+  /// Expected sizes of long answers in bytes, by route.
+  configuration::text_map<std::size_t> LongAnswerBytes;
   kj::Own<kj::PromiseFulfiller<void>> Ending;
   kj::ForkedPromise<void> Ended = nullptr;
 };
--- a/src/node/homeservice.cpp
+++ b/src/node/homeservice.cpp
@@ -85,8 +85,8 @@
   const execution::request_id Id = *Request.Id;
   switch (Answer.Outcome) {
   case outcome::Completed:
-    execution::completeRun(Node.Home, Id,
-                           {Answer.Status, Answer.ContentType, Answer.Body});
+    execution::completeRun(
+        Node.Home, Id, {Answer.Status, Answer.ContentType, Answer.Body.text()});
     break;
   case outcome::NotRun:
     execution::fenceRun(Node.Home, Id, Answer.Reason);
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,3 +1,4 @@
+#include "framework/heaptrimmer.h"
 #include "framework/logging.h"
 #include "node/daemon.h"
 
@@ -6,6 +7,7 @@
 
 int main(int Count, char **Values) {
   using namespace figplank;
+  framework::returnLongBlocks();
   std::vector<std::string> Arguments(Values + 1, Values + Count);
   const auto &Specs = node::nodeSettingSpecs();
   framework::raw_settings Given =
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -142,6 +142,44 @@
       addCounter(To, "figplank_exchanges_total", "Exchanges begun with peers");
 }
 
+void addMemory(node_metrics &Metrics) {
+  Registry &To = *Metrics.Registry;
+  auto &Used = BuildGauge()
+                   .Name("figplank_memory_bytes")
+                   .Help("Memory held for clients, by class")
+                   .Register(To);
+  auto &Denials = BuildGauge()
+                      .Name("figplank_memory_denials")
+                      .Help("Items that found no room so far, by class")
+                      .Register(To);
+  for (std::size_t I = 0; I < framework::MemoryClassNames.size(); ++I) {
+    const std::string Name(framework::MemoryClassNames[I].Name);
+    Metrics.Memory.Used[I] = &Used.Add({{"class", Name}});
+    Metrics.Memory.Denials[I] = &Denials.Add({{"class", Name}});
+  }
+  Metrics.Memory.Free =
+      addGauge(To, "figplank_memory_free_bytes", "Memory left for clients");
+}
+
+void addConnections(node_metrics &Metrics) {
+  Registry &To = *Metrics.Registry;
+  Metrics.Connections =
+      addGauge(To, "figplank_connections", "Open connections of callers");
+  auto &Family =
+      BuildCounter()
+          .Name("figplank_connection_ends_total")
+          .Help("Ends of callers' connections, by reason and whether responses "
+                "were owed")
+          .Register(To);
+  for (std::size_t Row = 0; Row < Metrics.ConnectionEnds.size(); ++Row) {
+    for (std::size_t I = 0; I < http::ConnectionEndNames.size(); ++I) {
+      Metrics.ConnectionEnds[Row][I] = &Family.Add(
+          {{"reason", std::string(http::ConnectionEndNames[I].Name)},
+           {"owing", Row == 0 ? "no" : "yes"}});
+    }
+  }
+}
+
 } // namespace
 
 node_metrics makeMetrics() {
@@ -159,6 +197,8 @@
   addTiming(Metrics);
   addRoutes(Metrics);
   addDissemination(Metrics);
+  addMemory(Metrics);
+  addConnections(Metrics);
   Metrics.FirstTries =
       addCounter(To, "figplank_first_tries_total", "First tries sent");
   Metrics.MalformedMessages =
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include "configuration/configurationtypes.h"
+#include "framework/memoryaccount.h"
 #include "framework/outcome.h"
+#include "http/server.h"
 #include "node/platformreader.h"
 #include "retry/budget.h"
 
@@ -66,6 +68,13 @@
   std::map<std::string, route_metrics, std::less<>> Routes;
 };
 
+/// The memory account, by class.
+struct memory_metrics {
+  std::array<prometheus::Gauge *, framework::MemoryClassNames.size()> Used{};
+  std::array<prometheus::Gauge *, framework::MemoryClassNames.size()> Denials{};
+  prometheus::Gauge *Free = nullptr;
+};
+
 struct node_metrics {
   std::shared_ptr<prometheus::Registry> Registry;
   /// Requests that this node refused on behalf of its backend server.
@@ -95,6 +104,13 @@
   prometheus::Gauge *Suspects = nullptr;
   prometheus::Gauge *IdsRun = nullptr;
   prometheus::Gauge *IdsFenced = nullptr;
+  memory_metrics Memory;
+  /// Ends of callers' connections by reason; the second row is of those that
+  /// owed responses.
+  std::array<std::array<prometheus::Counter *, http::ConnectionEndNames.size()>,
+             2>
+      ConnectionEnds{};
+  prometheus::Gauge *Connections = nullptr;
 };
 
 node_metrics makeMetrics();
--- a/src/node/rounds.cpp
+++ b/src/node/rounds.cpp
@@ -58,7 +58,7 @@
         {{"outcome", std::string(framework::nameOf(Item.Outcome))},
          {"reason", std::string(framework::nameOf(Item.Reason))},
          {"status", Item.Status},
-         {"body", Item.Body}});
+         {"body", Item.Body.text()}});
   }
   Document["answers"] = std::move(Answers);
   return Document.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
--- a/src/node/rpcservice.cpp
+++ b/src/node/rpcservice.cpp
@@ -11,6 +11,16 @@
 using framework::readClocks;
 using framework::refusal_reason;
 
+/// Holds the charge for a message until its receiver has taken it.
+class answer_receipt final : public rpc::Receipt::Server {
+public:
+  explicit answer_receipt(framework::memory_charge Charge)
+      : Charge(std::move(Charge)) {}
+
+private:
+  framework::memory_charge Charge;
+};
+
 } // namespace
 
 rpc_service::rpc_service(node_runtime &Node, upstream_service &Upstream,
@@ -25,18 +35,39 @@
 }
 
 task<void> rpc_service::runCall(RunContext Context) {
-  rpc::WorkRequest::Reader Message = Context.getParams().getRequest();
-  std::uint64_t Attempt = Message.getAttempt();
-  auto Request = readRequest(Message, readClocks().Monotonic);
+  rpc::WorkRequest::Reader Received = Context.getParams().getRequest();
+  std::uint64_t Attempt = Received.getAttempt();
+  bool HasRoom = true;
+  auto Request =
+      readRequest(Received, readClocks().Monotonic, Node.Memory, HasRoom);
+  const framework::monotonic_time Deadline =
+      Request ? Request->Deadline : framework::monotonic_time();
   work_answer Answer;
-  if (Request) {
+  if (Request && !HasRoom) {
+    // Another node may have room. Its queue is full as well, in a way, and
+    // nodes of earlier builds don't know the reason memory_short.
+    Answer = makeRefusal(refusalOutcome(*Request), refusal_reason::QueueFull);
+    Answer.MayRetry = true;
+    countRefusal(Node.Metrics.LocalRefusals, refusal_reason::MemoryShort);
+  } else if (Request) {
     Context.releaseParams();
     Answer = co_await Upstream.execute(kj::mv(*Request));
   } else {
     Node.Metrics.MalformedMessages->Increment();
     Answer = makeRefusal(outcome::Unknown, refusal_reason::MalformedRequest);
   }
-  writeAnswer(Context.getResults().initAnswer(), Answer, Attempt);
+  framework::memory_charge Charge(&Node.Messages,
+                                  framework::memory_class::Answers);
+  bool InTime =
+      co_await awaitMessageRoom(Node, Charge, Answer.Body.size(), Deadline);
+  if (!InTime) {
+    Answer = makeRefusal(outcome::Unknown, refusal_reason::DeadlinePassed);
+  }
+  rpc::WorkAnswer::Builder Message = Context.getResults().initAnswer();
+  writeAnswer(Message, Answer, Attempt);
+  if (Charge.bytes() > 0) {
+    Message.setReceipt(kj::heap<answer_receipt>(std::move(Charge)));
+  }
 }
 
 kj::Promise<void> rpc_service::handOver(HandOverContext Context) {
--- a/src/node/runtime.cpp
+++ b/src/node/runtime.cpp
@@ -10,6 +10,22 @@
                                          framework::readClocks().Monotonic);
 }
 
+/// The account of clients in a process that may use \p Limit bytes. A long body
+/// is held a second time while it goes to another node, so long items get two
+/// fifths; the rest is for the configuration, the peers and the program itself.
+framework::memory_account makeAccount(std::size_t Limit) {
+  framework::memory_account Account;
+  Account.MaxLongBytes = Limit / 20 * 8;
+  Account.MaxBytes = Limit / 20 * 9;
+  return Account;
+}
+
+framework::memory_account makeMessageAccount(std::size_t Limit) {
+  framework::memory_account Account;
+  Account.MaxLongBytes = Account.MaxBytes = Limit / 20 * 8;
+  return Account;
+}
+
 /// With routes, the platform publishes which backend servers are shutting down,
 /// so a node announces a drain only for its own restart.
 constexpr framework::milliseconds RouteDrainRetryInterval{1'500};
@@ -31,6 +47,8 @@
                            kj::AsyncIoContext &Io)
     : Settings(std::move(InitialSettings)), Io(Io),
       Timer(Io.provider->getTimer()), Network(Io.provider->getNetwork()),
+      Memory(makeAccount(Settings.MemoryLimit)),
+      Messages(makeMessageAccount(Settings.MemoryLimit)),
       Metrics(makeMetrics()), Home(execution::makeHomeTable(
                                   Settings.Home, framework::readClocks().Wall)),
       Limit(initialLimit()), Shares(admission::makeShareController(
@@ -57,6 +75,19 @@
   OnConfigurationChange = []() {};
 }
 
+task<bool> awaitMessageRoom(node_runtime &Node,
+                            framework::memory_charge &Charge, std::size_t Bytes,
+                            framework::monotonic_time Deadline) {
+  constexpr framework::milliseconds PollInterval{5};
+  while (Bytes > framework::MaxShortBytes && !Charge.growTo(Bytes)) {
+    if (framework::readClocks().Monotonic >= Deadline) {
+      co_return false;
+    }
+    co_await Node.Timer.afterDelay(toDuration(PollInterval));
+  }
+  co_return true;
+}
+
 double node_runtime::draw() {
   return std::uniform_real_distribution<double>(0.0, 1.0)(Random);
 }
--- a/src/node/runtime.h
+++ b/src/node/runtime.h
@@ -11,6 +11,7 @@
 #include "configuration/store.h"
 #include "execution/home.h"
 #include "framework/coroutine.h"
+#include "framework/memoryaccount.h"
 #include "membership/pause.h"
 #include "membership/readers.h"
 #include "node/metrics.h"
@@ -56,6 +57,10 @@
   kj::Network &Network;
 
   node_condition Condition;
+  /// What clients hold, and what is held for them.
+  framework::memory_account Memory;
+  /// Copies of long bodies in messages to other nodes.
+  framework::memory_account Messages;
   /// When the node will end its requests and exit; set by a termination signal.
   std::optional<framework::monotonic_time> StopTime;
   node_metrics Metrics;
@@ -113,6 +118,13 @@
 /// buffer during a pause.
 void detectPause(node_runtime &Node);
 
+/// Charges \p Charge, of Node.Messages, for a body of \p Bytes bytes that is
+/// copied into a message. Waits for room if the body is long. Returns false if
+/// there was none by \p Deadline.
+task<bool> awaitMessageRoom(node_runtime &Node,
+                            framework::memory_charge &Charge, std::size_t Bytes,
+                            framework::monotonic_time Deadline);
+
 /// Whether a pause ended so recently that a received message may have been sent
 /// before it.
 bool hasJustResumed(const node_runtime &Node);
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -1,5 +1,8 @@
 #include "node/settings.h"
 
+#include <algorithm>
+#include <sys/resource.h>
+
 namespace figplank::node {
 namespace {
 
@@ -9,6 +12,17 @@
 constexpr std::int64_t MaxClockBoundMs = 60'000;
 constexpr std::int64_t MaxRetentionMs = 3'600'000;
 constexpr std::int64_t MaxGraceMs = 600'000;
+constexpr std::int64_t MinMemoryMb = 32;
+constexpr std::int64_t MaxMemoryMb = 1'000'000;
+constexpr std::int64_t MaxDescriptorSetting = 10'000'000;
+
+/// The lower one of \p Configured, if it isn't 0, and the limit of the process.
+std::size_t descriptorLimit(std::size_t Configured) {
+  rlimit Own{};
+  getrlimit(RLIMIT_NOFILE, &Own);
+  std::size_t Limit = Own.rlim_cur;
+  return Configured == 0 ? Limit : std::min(Configured, Limit);
+}
 
 template <typename Enum, std::size_t Size>
 std::vector<std::string>
@@ -67,6 +81,12 @@
        false},
       {"grace-ms", "maximum time that a draining node waits for its requests",
        "30000", false},
+      {"memory-limit-mb", "memory that the process may use, in MiB", "160",
+       false},
+      {"max-descriptors",
+       "descriptors that the process may have open; 0 for the limit that it "
+       "has",
+       "0", false},
       {"admission", "coordinated, or a benchmark baseline: independent, none",
        "coordinated", false},
       {"log-level", "debug, info, warning or error", "info", false},
@@ -108,6 +128,13 @@
       framework::integerSetting(Given, "max-fences", 1, 10'000'000));
   Settings.Grace =
       milliseconds(framework::integerSetting(Given, "grace-ms", 0, MaxGraceMs));
+  Settings.MemoryLimit =
+      static_cast<std::size_t>(framework::integerSetting(
+          Given, "memory-limit-mb", MinMemoryMb, MaxMemoryMb))
+      << 20U;
+  Settings.MaxDescriptors =
+      descriptorLimit(static_cast<std::size_t>(framework::integerSetting(
+          Given, "max-descriptors", 0, MaxDescriptorSetting)));
   Settings.Admission = enumSetting(Given, "admission", AdmissionModeNames);
   Settings.LogLevel = enumSetting(Given, "log-level", LogLevelNames);
   if (Settings.HttpAddress.empty() && Settings.RouteAddress.empty()) {
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -66,6 +66,10 @@
   std::vector<std::string> Seeds;
   execution::home_settings Home;
   framework::milliseconds Grace{0};
+  /// Memory that the process may use, in bytes.
+  std::size_t MemoryLimit = 0;
+  /// Descriptors that the process may have open.
+  std::size_t MaxDescriptors = 0;
   admission_mode Admission = admission_mode::Coordinated;
   framework::log_level LogLevel = framework::log_level::Info;
 };
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -1,5 +1,7 @@
 #include "node/wire.h"
 
+#include "http/parser.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,10 +14,14 @@
 /// Maximum number of fingerprints accepted from one crash report.
 constexpr unsigned MaxReportedFingerprints = 10'000;
 
-std::string toString(capnp::Text::Reader Text) {
+std::string_view toView(capnp::Text::Reader Text) {
   return {Text.begin(), Text.size()};
 }
 
+std::string toString(capnp::Text::Reader Text) {
+  return std::string(toView(Text));
+}
+
 std::string toString(capnp::Data::Reader Data) {
   return {reinterpret_cast<const char *>(Data.begin()), Data.size()};
 }
@@ -28,6 +34,11 @@
   return {Text.c_str(), Text.size()};
 }
 
+/// Fills \p To, which has the size of \p From.
+void copyText(capnp::Text::Builder To, std::string_view From) {
+  std::copy(From.begin(), From.end(), To.begin());
+}
+
 bool isFraction(double Number) {
   return std::isfinite(Number) && Number >= 0.0 && Number <= 1.0;
 }
@@ -49,20 +60,34 @@
   To.setLeavingStartedMs(From.Leaving.StartedMs);
 }
 
-void writeHeaders(capnp::List<rpc::Header>::Builder To,
-                  const http::header_list &From) {
-  for (unsigned I = 0; I < From.size(); ++I) {
-    To[I].setName(toText(From[I].Name));
-    To[I].setValue(toText(From[I].Value));
+/// Number of header lines up to which they are sent as a list.
+constexpr std::size_t MaxListedHeaders = 64;
+
+/// \p To is a message with the members headers and headerText.
+template <typename Builder>
+void writeHeaders(Builder To, const http::header_list &From) {
+  std::size_t Lines = From.size();
+  if (Lines > MaxListedHeaders) {
+    To.setHeaderText(toData(From.text()));
+    return;
+  }
+  auto List = To.initHeaders(static_cast<unsigned>(Lines));
+  unsigned I = 0;
+  for (const http::header &Line : From) {
+    rpc::Header::Builder Item = List[I++];
+    copyText(Item.initName(static_cast<unsigned>(Line.Name.size())), Line.Name);
+    copyText(Item.initValue(static_cast<unsigned>(Line.Value.size())),
+             Line.Value);
   }
 }
 
-http::header_list readHeaders(capnp::List<rpc::Header>::Reader From) {
+template <typename Reader> http::header_list readHeaders(Reader From) {
+  if (From.hasHeaderText()) {
+    return http::header_list::fromText(toString(From.getHeaderText()));
+  }
   http::header_list Headers;
-  Headers.reserve(From.size());
-  for (rpc::Header::Reader Header : From) {
-    Headers.push_back(
-        {toString(Header.getName()), toString(Header.getValue())});
+  for (rpc::Header::Reader Line : From.getHeaders()) {
+    Headers.add(toView(Line.getName()), toView(Line.getValue()));
   }
   return Headers;
 }
@@ -73,16 +98,27 @@
   To.setMethod(toText(From.Method));
   To.setCallerService(toText(From.CallerService));
   To.setInstance(toText(From.ExpectedInstance));
-  writeHeaders(To.initHeaders(static_cast<unsigned>(From.Headers.size())),
-               From.Headers);
+  writeHeaders(To, From.Headers);
 }
 
 forwarded_request readForwarded(rpc::ForwardedRequest::Reader From) {
   return {toString(From.getName()), toString(From.getMethod()),
-          readHeaders(From.getHeaders()), toString(From.getCallerService()),
+          readHeaders(From), toString(From.getCallerService()),
           toString(From.getInstance())};
 }
 
+/// The length of what \p From holds beside the body.
+std::size_t headBytes(rpc::WorkRequest::Reader From) {
+  std::size_t Bytes = From.getPath().size() + From.getRootId().size();
+  if (From.hasForwarded()) {
+    Bytes += From.getForwarded().getHeaderText().size();
+    for (rpc::Header::Reader Line : From.getForwarded().getHeaders()) {
+      Bytes += Line.getName().size() + Line.getValue().size();
+    }
+  }
+  return Bytes;
+}
+
 routing::reported_load readLoad(rpc::Load::Reader From) {
   routing::reported_load Load;
   Load.Limit =
@@ -127,7 +163,9 @@
 }
 
 std::optional<work_request> readRequest(rpc::WorkRequest::Reader From,
-                                        framework::monotonic_time Now) {
+                                        framework::monotonic_time Now,
+                                        framework::memory_account &Account,
+                                        bool &HasRoom) {
   constexpr double MaxWeight = 1e4;
   work_request Request;
   Request.Id = execution::requestIdFromBytes(toString(From.getId()));
@@ -145,7 +183,19 @@
   Request.Draw = From.getDraw();
   Request.SamplingWeight = From.getWeight();
   Request.ContentType = toString(From.getContentType());
-  Request.Body = toString(From.getBody());
+  auto Charge = std::make_shared<framework::memory_charge>(
+      &Account, framework::memory_class::Heads);
+  framework::memory_charge BodyCharge(&Account,
+                                      framework::memory_class::Bodies);
+  // NOTE Each read of a member counts against the traversal limit of a message,
+  // which a long body uses up for the most part.
+  capnp::Data::Reader Body = From.getBody();
+  HasRoom = Charge->growTo(http::chargeOfRun(headBytes(From))) &&
+            BodyCharge.growTo(Body.size());
+  if (HasRoom) {
+    Request.Body = http::shared_body(toString(Body), std::move(BodyCharge));
+    Request.Charge = std::move(Charge);
+  }
   Request.LatencyObjective = framework::milliseconds(From.getObjectiveMs());
   if (From.hasForwarded()) {
     Request.Forwarded = readForwarded(From.getForwarded());
@@ -169,9 +219,8 @@
   To.setReason(static_cast<std::uint8_t>(From.Reason));
   To.setStatus(From.Status);
   To.setContentType(toText(From.ContentType));
-  writeHeaders(To.initHeaders(static_cast<unsigned>(From.Headers.size())),
-               From.Headers);
-  To.setBody(toData(From.Body));
+  writeHeaders(To, From.Headers);
+  To.setBody(toData(From.Body.text()));
   To.setRetryAfterMs(static_cast<std::uint32_t>(From.RetryAfter.count()));
   To.setUnusedTries(From.UnusedTries);
   To.setMayRetry(From.MayRetry);
@@ -180,7 +229,8 @@
 }
 
 std::optional<work_answer> readAnswer(rpc::WorkAnswer::Reader From,
-                                      std::uint64_t Attempt) {
+                                      std::uint64_t Attempt,
+                                      framework::memory_account &Account) {
   auto Reason = readReason(From.getReason());
   bool Valid = From.getAttempt() == Attempt && Reason.has_value() &&
                From.getOutcome() < framework::OutcomeNames.size() &&
@@ -193,11 +243,18 @@
   Answer.Reason = *Reason;
   Answer.Status = From.getStatus();
   Answer.ContentType = toString(From.getContentType());
-  Answer.Headers = readHeaders(From.getHeaders());
-  Answer.Body = toString(From.getBody());
+  Answer.Headers = readHeaders(From);
+  framework::memory_charge Charge(&Account, framework::memory_class::Answers);
+  capnp::Data::Reader Body = From.getBody();
+  if (Charge.growTo(Body.size())) {
+    Answer.Body = http::shared_body(toString(Body), std::move(Charge));
+  } else {
+    Answer = makeRefusal(outcome::Unknown, refusal_reason::MemoryShort);
+  }
   Answer.RetryAfter = framework::milliseconds(From.getRetryAfterMs());
   Answer.UnusedTries = From.getUnusedTries();
-  Answer.MayRetry = From.getMayRetry();
+  Answer.MayRetry =
+      From.getMayRetry() && Answer.Reason != refusal_reason::MemoryShort;
   Answer.ChainShare = From.getShare();
   Answer.Load = readLoad(From.getLoad());
   return Answer;
--- a/src/node/wire.h
+++ b/src/node/wire.h
@@ -18,16 +18,23 @@
 void writeRequest(rpc::WorkRequest::Builder To, const work_request &From,
                   std::uint64_t Attempt, framework::monotonic_time Now);
 
-/// Returns nothing if \p From is not a valid request.
+/// Returns nothing if \p From is not a valid request. The request is charged to
+/// \p Account; sets \p HasRoom to false, and leaves the body out, if it finds
+/// no room there.
 std::optional<work_request> readRequest(rpc::WorkRequest::Reader From,
-                                        framework::monotonic_time Now);
+                                        framework::monotonic_time Now,
+                                        framework::memory_account &Account,
+                                        bool &HasRoom);
 
 void writeAnswer(rpc::WorkAnswer::Builder To, const work_answer &From,
                  std::uint64_t Attempt);
 
-/// Returns nothing if the answer belongs to another attempt or is invalid.
+/// Returns nothing if the answer belongs to another attempt or is invalid. The
+/// body is charged to \p Account. If it finds no room there, the answer is
+/// replaced by one that leaves the outcome open, for lack of memory.
 std::optional<work_answer> readAnswer(rpc::WorkAnswer::Reader From,
-                                      std::uint64_t Attempt);
+                                      std::uint64_t Attempt,
+                                      framework::memory_account &Account);
 
 void writeEntries(capnp::List<rpc::Entry>::Builder To,
                   const std::vector<configuration::published_entry> &From);
--- a/src/node/worktypes.h
+++ b/src/node/worktypes.h
@@ -10,6 +10,7 @@
 #include "routing/upstreams.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -51,6 +52,11 @@
   double SamplingWeight = 1.0;
   std::string ContentType;
   http::shared_body Body;
+  /// What the request is charged beside its body; null for none.
+  std::shared_ptr<const framework::memory_charge> Charge;
+  /// Room that the entry keeps for the answer, given up when it comes; null
+  /// for none.
+  std::shared_ptr<framework::memory_charge> AnswerRoom;
   /// Set only for requests of routes.
   std::optional<forwarded_request> Forwarded;
   /// Latency, measured from the arrival, that the answer should stay within;
@@ -66,7 +72,7 @@
   std::string ContentType;
   /// Headers of the backend server's answer to a request of a route.
   http::header_list Headers;
-  std::string Body;
+  http::shared_body Body;
   /// Time that the caller should wait before it retries.
   framework::milliseconds RetryAfter{0};
   std::uint8_t UnusedTries = 0;
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -50,6 +50,9 @@
   # Name of the instance that the request is addressed to. Another instance at
   # the same address refuses it.
   headers @4 :List(Header);
+  headerText @5 :Data;
+  # Very many header lines, as in an HTTP/1.1 message, in place of headers: each
+  # entry of a list takes more than a short line.
 }
 
 struct Load {
@@ -79,8 +82,15 @@
   share @9 :Float64;
   load @10 :Load;
   headers @11 :List(Header);
+  headerText @12 :Data;
+  # As in ForwardedRequest.
+  receipt @13 :Receipt;
+  # With a long body only. The caller drops it once it has taken the answer, so
+  # that the sender knows when the message is no longer in its memory.
 }
 
+interface Receipt {}
+
 struct Entry {
   key @0 :Text;
   revision @1 :UInt64;
--- a/src/rpc/node.capnp.h
+++ b/src/rpc/node.capnp.h
@@ -24,6 +24,7 @@
 CAPNP_DECLARE_SCHEMA(9f40c0449228dd9b);
 CAPNP_DECLARE_SCHEMA(8d2c0230d027129c);
 CAPNP_DECLARE_SCHEMA(e96004a5b7fd591f);
+CAPNP_DECLARE_SCHEMA(b409c9f92db027dc);
 CAPNP_DECLARE_SCHEMA(820852706c3a1ed9);
 CAPNP_DECLARE_SCHEMA(986717a1e11a1704);
 CAPNP_DECLARE_SCHEMA(8f592022214ee08d);
@@ -85,7 +86,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f40c0449228dd9b, 0, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(9f40c0449228dd9b, 0, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -115,13 +116,30 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e96004a5b7fd591f, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e96004a5b7fd591f, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
   };
 };
 
+struct Receipt {
+  Receipt() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(b409c9f92db027dc)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
 struct Entry {
   Entry() = delete;
 
@@ -713,6 +731,9 @@
   inline bool hasHeaders() const;
   inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
+  inline bool hasHeaderText() const;
+  inline  ::capnp::Data::Reader getHeaderText() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -776,6 +797,13 @@
   inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
+  inline bool hasHeaderText();
+  inline  ::capnp::Data::Builder getHeaderText();
+  inline void setHeaderText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHeaderText(unsigned int size);
+  inline void adoptHeaderText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHeaderText();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -958,6 +986,14 @@
   inline bool hasHeaders() const;
   inline  ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
+  inline bool hasHeaderText() const;
+  inline  ::capnp::Data::Reader getHeaderText() const;
+
+  inline bool hasReceipt() const;
+#if !CAPNP_LITE
+  inline  ::figplank::rpc::Receipt::Client getReceipt() const;
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1038,6 +1074,22 @@
   inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::figplank::rpc::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
+  inline bool hasHeaderText();
+  inline  ::capnp::Data::Builder getHeaderText();
+  inline void setHeaderText( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHeaderText(unsigned int size);
+  inline void adoptHeaderText(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHeaderText();
+
+  inline bool hasReceipt();
+#if !CAPNP_LITE
+  inline  ::figplank::rpc::Receipt::Client getReceipt();
+  inline void setReceipt( ::figplank::rpc::Receipt::Client&& value);
+  inline void setReceipt( ::figplank::rpc::Receipt::Client& value);
+  inline void adoptReceipt(::capnp::Orphan< ::figplank::rpc::Receipt>&& value);
+  inline ::capnp::Orphan< ::figplank::rpc::Receipt> disownReceipt();
+#endif  // !CAPNP_LITE
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1057,6 +1109,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::figplank::rpc::Load::Pipeline getLoad();
+  inline  ::figplank::rpc::Receipt::Client getReceipt();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1065,6 +1118,53 @@
 };
 #endif  // !CAPNP_LITE
 
+#if !CAPNP_LITE
+class Receipt::Client
+    : public virtual ::capnp::Capability::Client {
+public:
+  typedef Receipt Calls;
+  typedef Receipt Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+
+protected:
+  Client() = default;
+};
+
+class Receipt::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Receipt Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+
+  inline  ::figplank::rpc::Receipt::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::figplank::rpc::Receipt>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
 class Entry::Reader {
 public:
   typedef Entry Reads;
@@ -3141,6 +3241,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool ForwardedRequest::Reader::hasHeaderText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasHeaderText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ForwardedRequest::Reader::getHeaderText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::getHeaderText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setHeaderText( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::initHeaderText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptHeaderText(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ForwardedRequest::Builder::disownHeaderText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline double Load::Reader::getLimit() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3512,6 +3646,103 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool WorkAnswer::Reader::hasHeaderText() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkAnswer::Builder::hasHeaderText() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader WorkAnswer::Reader::getHeaderText() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder WorkAnswer::Builder::getHeaderText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void WorkAnswer::Builder::setHeaderText( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder WorkAnswer::Builder::initHeaderText(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void WorkAnswer::Builder::adoptHeaderText(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> WorkAnswer::Builder::disownHeaderText() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool WorkAnswer::Reader::hasReceipt() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkAnswer::Builder::hasReceipt() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+#if !CAPNP_LITE
+inline  ::figplank::rpc::Receipt::Client WorkAnswer::Reader::getReceipt() const {
+  return ::capnp::_::PointerHelpers< ::figplank::rpc::Receipt>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::figplank::rpc::Receipt::Client WorkAnswer::Builder::getReceipt() {
+  return ::capnp::_::PointerHelpers< ::figplank::rpc::Receipt>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::figplank::rpc::Receipt::Client WorkAnswer::Pipeline::getReceipt() {
+  return  ::figplank::rpc::Receipt::Client(_typeless.getPointerField(5).asCap());
+}
+inline void WorkAnswer::Builder::setReceipt( ::figplank::rpc::Receipt::Client&& cap) {
+  ::capnp::_::PointerHelpers< ::figplank::rpc::Receipt>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(cap));
+}
+inline void WorkAnswer::Builder::setReceipt( ::figplank::rpc::Receipt::Client& cap) {
+  ::capnp::_::PointerHelpers< ::figplank::rpc::Receipt>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), cap);
+}
+inline void WorkAnswer::Builder::adoptReceipt(
+    ::capnp::Orphan< ::figplank::rpc::Receipt>&& value) {
+  ::capnp::_::PointerHelpers< ::figplank::rpc::Receipt>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::figplank::rpc::Receipt> WorkAnswer::Builder::disownReceipt() {
+  return ::capnp::_::PointerHelpers< ::figplank::rpc::Receipt>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#endif  // !CAPNP_LITE
+
+#if !CAPNP_LITE
+inline Receipt::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Receipt::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Receipt::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Receipt::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Receipt::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::figplank::rpc::Receipt::Client& Receipt::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::figplank::rpc::Receipt::Client& Receipt::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
 inline bool Entry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
