Short requests are not closed for a long item that found no room

Seen on reading the diff: with a long item denied and room left for short ones, the slow connection that held most was closed even if it held a few bytes, which makes no room for the long item. Only holders of long items are closed then. AShortRequestIsNotClosedForALongItem fails without the change by reading; it was not run without it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -538,9 +538,13 @@
     double ByteSeconds;
   };
   kj::TimePoint Now = Timer.now();
+  // Short holders make no room for long items.
+  std::size_t MinHeldBytes =
+      Free < KeptFreeBytes ? 1 : framework::MaxShortBytes + 1;
   std::vector<holder> Holders;
   for (connection *Each : OpenConnections) {
-    if (!Each->isEnding() && Each->heldBytes() > 0 && Each->isSlow(Now)) {
+    bool HoldsEnough = Each->heldBytes() >= MinHeldBytes;
+    if (!Each->isEnding() && HoldsEnough && Each->isSlow(Now)) {
       auto Milliseconds =
           static_cast<double>((Now - Each->holdingSince()) / kj::MILLISECONDS);
       Holders.push_back(
--- a/src/http/tests/connectionend_tests.cpp
+++ b/src/http/tests/connectionend_tests.cpp
@@ -133,6 +133,19 @@
   CHECK(Ends[0].HeldBytes >= 200'000);
 }
 
+// Guards against a short request that is given up for a long item, which its
+// bytes make no room for.
+TEST(ConnectionEnd, AShortRequestIsNotClosedForALongItem) {
+  send("GET /slow HTTP/1.1\r\nX: " + std::string(10'000, 'x'));
+  wait(1'100);
+  framework::memory_charge Denied(&Session->Account,
+                                  framework::memory_class::Answers);
+  CHECK_FALSE(Denied.growTo(Session->Account.MaxLongBytes + 1));
+  Server.closeHarmfulConnections();
+  wait(2);
+  LONGS_EQUAL(0, Ends.size());
+}
+
 TEST(ConnectionEnd, OfAnIncompleteRequestWhileMemoryIsShort) {
   send("GET /slow HTTP/1.1\r\nX: " + std::string(10'000, 'x'));
   wait(1'100);
