A request with an id is not called not run for lack of room for its message

Seen on reading the diff: on a repeat to its home, a request of a template whose long body found no room in the message account until the deadline was refused as not run, though an earlier try may have run it. Requests of routes were not concerned (dispatchToAny keeps MayHaveRun). No test: the state needs a full message account in template mode; refusalOutcome() is what every other refusal asks.

--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -354,7 +354,8 @@
     if (!InTime) {
       Ended = true;
       routing::recordEnd(Node.Upstreams, Address);
-      Result.Answer = makeRefusal(outcome::NotRun, refusal_reason::MemoryShort);
+      Result.Answer =
+          makeRefusal(refusalOutcome(Request), refusal_reason::MemoryShort);
       Result.Answer.UnusedTries = Request.ExtraTries;
       Result.Answered = true;
       co_return kj::mv(Result);
