--- a/review/standins-2/slow_readers.cpp
+++ b/review/standins-2/slow_readers.cpp
@@ -9,16 +9,17 @@
 namespace {
 
 constexpr milliseconds StartTime{8'000};
-constexpr milliseconds Budget{20'000};
+constexpr milliseconds Budget{6'000};
 constexpr milliseconds RunTime{50};
 constexpr std::size_t AnswerBytes = 14'000'000;
 constexpr std::size_t UploadBytes = 60'000'000;
-constexpr unsigned ReaderCount = 5;
-constexpr unsigned UploadCount = 8;
-constexpr milliseconds UploadStart{2'000};
-constexpr milliseconds UploadPause{500};
+constexpr unsigned ReaderCount = 7;
+constexpr unsigned ReaderRounds = 3;
+constexpr milliseconds UploadStart{1'500};
+constexpr unsigned UploadCount = 2;
+constexpr milliseconds UploadPause{1'000};
 constexpr int ReceiveBytes = 65'536;
-constexpr reading_pace Pace{100'000, milliseconds(8'000)};
+constexpr reading_pace Pace{100'000, milliseconds(4'500)};
 /// Connections closed without an answer from which on the rule is broken.
 constexpr unsigned MaxLost = 3;
 
@@ -44,7 +45,7 @@
   Store.put("servers/i-door", Door.entry("door", "z-a"));
   Store.put("servers/i-grid", Grid.entry("grid", "z-a"));
   Store.put("op/config",
-            configuration(7, {{"spend", "non_idempotent", "grid", 20'000}}));
+            configuration(7, {{"spend", "non_idempotent", "grid", 6'000}}));
   const ports Ports = freePorts();
   const std::vector<std::string> Seeds{"127.0.0.1", "127.0.0.2"};
   sidecar Entry({"127.0.0.1", "sidecar-a-1", "door", "z-a"}, Ports,
@@ -58,8 +59,8 @@
   std::this_thread::sleep_for(StableWindow);
   std::atomic<unsigned> Lost = 0;
   std::atomic<unsigned> Complete = 0;
-  auto Read = [&](unsigned Number) {
-    std::string Id = "r" + std::to_string(Number);
+  auto Read = [&](unsigned Round, unsigned Number) {
+    std::string Id = "r" + std::to_string(Round) + "-" + std::to_string(Number);
     auto Connection = connectTo(Entry.outbound(), ReceiveBytes);
     // The connection is a kept one: it has carried a request before.
     Connection->send(
@@ -74,22 +75,25 @@
     Lost += IsLost ? 1 : 0;
     Complete += Result.IsComplete ? 1 : 0;
   };
-  std::vector<std::thread> Readers;
-  for (unsigned I = 0; I < ReaderCount; ++I) {
-    Readers.emplace_back(Read, I);
-  }
-  std::this_thread::sleep_for(UploadStart);
   const std::string Body(UploadBytes, 'b');
-  for (unsigned I = 0; hasTrouble() && I < UploadCount; ++I) {
-    std::string Id = "u" + std::to_string(I);
-    call_result Result =
-        call(Entry.outbound(), "POST", "/spend/upload", Id, Budget, Body);
-    Record.add("client: upload " + Id + " got " +
-               std::to_string(Result.Status));
-    std::this_thread::sleep_for(UploadPause);
-  }
-  for (std::thread &Reader : Readers) {
-    Reader.join();
+  for (unsigned Round = 0; Round < ReaderRounds; ++Round) {
+    std::vector<std::thread> Readers;
+    for (unsigned I = 0; I < ReaderCount; ++I) {
+      Readers.emplace_back(Read, Round, I);
+    }
+    std::this_thread::sleep_for(UploadStart);
+    for (unsigned I = 0; hasTrouble() && I < UploadCount; ++I) {
+      std::string Id = "u" + std::to_string(Round) + "-" + std::to_string(I);
+      call_result Result =
+          call(Entry.outbound(), "POST", "/spend/upload", Id, Budget, Body);
+      Record.add("client: upload " + Id + " got " +
+                 std::to_string(Result.Status) + ", Retry-After " +
+                 Result.RetryAfter);
+      std::this_thread::sleep_for(UploadPause);
+    }
+    for (std::thread &Reader : Readers) {
+      Reader.join();
+    }
   }
   std::cout << Lost << " answers lost, " << Complete << " complete"
             << std::endl;
