--- a/review/standins-2/uploads.cpp
+++ b/review/standins-2/uploads.cpp
@@ -15,9 +15,13 @@
 constexpr milliseconds RestartDelay{300};
 constexpr milliseconds SampleInterval{2};
 constexpr milliseconds Budget{5'000};
-constexpr milliseconds RoundPause{4'000};
-constexpr unsigned Rounds = 6;
-constexpr unsigned EntryCount = 8;
+/// Each client sends the end of its body when all have sent the rest, or after
+/// this time, which is below `headerTimeoutMs`.
+constexpr milliseconds MaxPause{2'000};
+constexpr milliseconds RoundPause{3'000};
+constexpr milliseconds AnswerSlack{1'000};
+constexpr unsigned Rounds = 16;
+constexpr unsigned EntryCount = 12;
 constexpr unsigned ServingCount = 2;
 /// Below `maxBodyBytes`, which is 67,108,864.
 constexpr std::size_t BodyBytes = 60'000'000;
@@ -70,7 +74,7 @@
   if (!eventually(AllReady, StartTime)) {
     giveUp("the sidecars are not ready");
   }
-  std::vector<unsigned> Ends(Sidecars.size());
+  std::vector<std::atomic<unsigned>> Ends(Sidecars.size());
   std::vector<std::size_t> Peaks(Sidecars.size());
   std::atomic<bool> Stop = false;
   std::thread Platform([&]() {
@@ -101,6 +105,7 @@
   });
   const std::string Body(BodyBytes, 'b');
   std::atomic<unsigned> Served = 0;
+  std::atomic<unsigned> Waiting = 0;
   auto Upload = [&](unsigned Round, unsigned Entry) {
     std::string Id = "u" + std::to_string(Round) + "-" + std::to_string(Entry);
     call_result Result =
@@ -108,7 +113,14 @@
     Served += Result.Status == 200 ? 1 : 0;
     Record.add("client: " + Id + " got " + std::to_string(Result.Status));
   };
-  for (unsigned Round = 0; Round < Rounds; ++Round) {
+  auto CountMachines = [&]() {
+    return static_cast<std::size_t>(
+        std::count_if(Ends.begin(), Ends.end(),
+                      [](const auto &Times) { return Times >= MaxEnds; }));
+  };
+  for (unsigned Round = 0; Round < Rounds && CountMachines() < MaxMachines;
+       ++Round) {
+    Waiting = 0;
     std::vector<std::thread> Clients;
     for (unsigned I = 0; I < EntryCount; ++I) {
       if (hasTrouble()) {
@@ -129,9 +141,7 @@
                std::to_string(Peaks[I] >> 20U) + " MB, ended " +
                std::to_string(Ends[I]) + " times");
   }
-  auto Machines = static_cast<std::size_t>(
-      std::count_if(Ends.begin(), Ends.end(),
-                    [](unsigned Times) { return Times >= MaxEnds; }));
+  std::size_t Machines = CountMachines();
   std::cout << Machines << " machines whose process ended " << MaxEnds
             << " times, " << Served << " uploads served" << std::endl;
   return Machines >= MaxMachines ? RuleBroken : RuleHeld;
