--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -485,7 +485,7 @@
 
 // Backend servers.
 
-backend::backend(std::string Ip, std::string Name, record &Record,
+backend::backend(const std::string &Ip, std::string Name, record &Record,
                  handler Handler)
     : Name(std::move(Name)), Record(Record), Handler(std::move(Handler)),
       BornMs(static_cast<std::uint64_t>(
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -195,7 +195,8 @@
 public:
   using handler = std::function<backend_answer(const backend_request &)>;
   /// \p Name is the id under which the server is registered.
-  backend(std::string Ip, std::string Name, record &Record, handler Handler);
+  backend(const std::string &Ip, std::string Name, record &Record,
+          handler Handler);
   std::string address() const { return Server->address(); }
   const std::string &name() const { return Name; }
   /// The value of its entry in the store.
