--- a/review/standins-2/returned_copy.cpp
+++ b/review/standins-2/returned_copy.cpp
@@ -78,6 +78,7 @@
         std::lock_guard<std::mutex> Lock(Mutex);
         Sent[Id] = steady::now();
       }
+      Record.add("client: " + Id + " sent");
       call_result Result = call(Entry.outbound(), "GET", "/read/x", Id, Budget);
       Record.add("client: " + Id + " got " + std::to_string(Result.Status));
       std::this_thread::sleep_for(CallPause);
--- a/review/standins-2/slow_reader_stop.cpp
+++ b/review/standins-2/slow_reader_stop.cpp
@@ -67,6 +67,7 @@
     std::string Id = "r" + std::to_string(Number);
     auto Connection = connectTo(Entry.outbound(), ReceiveBytes);
     Connection->send(requestText("POST", "/spend/long", Id, Budget));
+    Record.add("client: " + Id + " sent");
     call_result Result = readSlowly(*Connection, Pace, steady::now() + Budget);
     auto End =
         std::chrono::duration_cast<milliseconds>(steady::now() - Signalled);
--- a/review/standins-2/uploads.cpp
+++ b/review/standins-2/uploads.cpp
@@ -122,6 +122,7 @@
     eventually([&]() { return !hasTrouble() || Waiting >= EntryCount; },
                MaxPause);
     Connection->send(std::string_view(Body).substr(0, 1));
+    Record.add("client: " + Id + " sent");
     call_result Result =
         readSlowly(*Connection, {}, steady::now() + Budget + AnswerSlack);
     Served += Result.Status == 200 ? 1 : 0;
