--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -561,6 +561,24 @@
 
 // Processes.
 
+namespace {
+
+/// Whether \p Port is free at the loopback addresses of all machines.
+bool isFreePort(unsigned Port) {
+  constexpr unsigned MaxMachines = 14;
+  bool IsFree = true;
+  for (unsigned I = 1; I <= MaxMachines && IsFree; ++I) {
+    int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in Address = toSocketAddress("127.0.0." + std::to_string(I), Port);
+    IsFree = bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                  sizeof Address) == 0;
+    close(Socket);
+  }
+  return IsFree;
+}
+
+} // namespace
+
 ports freePorts() {
   // Below the ports that the kernel gives to outgoing connections, which could
   // take one before its process is started or started again.
@@ -571,13 +589,8 @@
   std::vector<unsigned> Free;
   while (Free.size() < 4) {
     unsigned Port = Draw(Random);
-    int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in Address = toSocketAddress("0.0.0.0", Port);
-    bool IsFree = bind(Socket, reinterpret_cast<sockaddr *>(&Address),
-                       sizeof Address) == 0 &&
-                  std::find(Free.begin(), Free.end(), Port) == Free.end();
-    close(Socket);
-    if (IsFree) {
+    bool IsNew = std::find(Free.begin(), Free.end(), Port) == Free.end();
+    if (IsNew && isFreePort(Port)) {
       Free.push_back(Port);
     }
   }
