--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,8 @@
 for source in review/standins-2/*.cpp; do
   name=$(basename "$source" .cpp)
   [ "$name" = harness ] && continue
-  g++ -std=c++20 -O2 -Wall -Wextra "$source" review/standins-2/harness.cpp -o "$out/$name" -lpthread &
+  g++ -std=c++20 -O2 -Wall -Wextra "$source" review/standins-2/harness.cpp -o "$out/$name" \
+    -lkj-http -lkj-async -lkj -lpthread &
 done
 for job in $(jobs -p); do
   wait "$job"
--- a/review/standins-2/harness.cpp
+++ b/review/standins-2/harness.cpp
@@ -400,6 +400,15 @@
   Changed.notify_all();
 }
 
+unsigned store::cutWaitingWatches() {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  ++Cuts;
+  Record.add("store: cuts " + std::to_string(WaitingWatches) +
+             " waiting watches");
+  Changed.notify_all();
+  return WaitingWatches;
+}
+
 std::string store::list(const std::string &Prefix, const std::string &After) {
   constexpr std::size_t PageSize = 50;
   json Rows = json::array();
@@ -436,9 +445,17 @@
       std::uint64_t After = std::stoull(queryValue(Target, "after"));
       milliseconds Wait(std::stoll(queryValue(Target, "waitMs")));
       std::uint64_t EraBefore = Era;
+      std::uint64_t CutsBefore = Cuts;
+      ++WaitingWatches;
       Changed.wait_for(Lock, Wait, [&]() {
-        return Revision > After || Stopping || Era != EraBefore;
+        return Revision > After || Stopping || Era != EraBefore ||
+               Cuts != CutsBefore;
       });
+      --WaitingWatches;
+      bool IsCut = Cuts != CutsBefore && Revision <= After;
+      if (IsCut) {
+        return false;
+      }
       if (Era != EraBefore || After < HistoryStart || After > Revision) {
         Status = "410 Gone";
         Body = "{}";
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -147,6 +147,9 @@
   /// Returns from the copy: items and revision are the copy's, the history is
   /// gone, and the era rises by one.
   void returnFromCopy();
+  /// Closes the connections of all watches that are waiting, without an answer.
+  /// Returns their number.
+  unsigned cutWaitingWatches();
   /// Called after a watch was answered with an event of \p Key.
   std::function<void(const std::string &Key, const std::string &Client)>
       OnDelivered;
@@ -175,6 +178,9 @@
   std::uint64_t CopiedRevision = 0;
   std::uint64_t HistoryStart = 100;
   std::uint64_t Era = 0;
+  /// Number of calls of cutWaitingWatches().
+  std::uint64_t Cuts = 0;
+  unsigned WaitingWatches = 0;
   bool Stopping = false;
   std::unique_ptr<server> Server;
 };
