Removals are held back after an absence of the store, not after a failed call

Cause: the store source took any call without a 200 for a sign that the store was away (LastFailure), and held all removals back for 2.3 s from the last one. Ruled out: a lost watch event (the next watch returns it), peers (a reader that is not cut passes the removal on at once).

Change: what counts is for how long the store can have been away, which is the time between two answers to any node (membership/presence). An entry expires three heartbeats after its last renewal, so an absence of less than 1.75 heartbeats holds nothing back. Nodes pass on since when and until when the store has answered with their exchanges, so one that was cut off does not take its own silence for an absence, and one that becomes a reader right after an outage knows of it. The holding moved from the store source to the disseminator (configuration/heldremovals), which releases by time, not when a watch returns, and no listing is read twice. After a failed read the next one waits for nothing, so that its answer shows at once that the store is there. A closed connection no longer lengthens the time for answers.

That servers whose entries lapse in an outage of 5 s are kept until they are back held before and after. Two checks of StoreSource moved: that removals wait after an outage is now checked through the whole node (ServerThatExpiresInAnOutageIsKeptUntilItIsBack, ...DoesNotComeBack...), for the maximum time too; a listing after a return names its revision, and ServerThatTheCopyLacksIsKeptUntilItIsListedAgain checks the rest.

--- a/src/membership/readtiming.cpp
+++ b/src/membership/readtiming.cpp
@@ -10,7 +10,8 @@
                     const read_timing &Timing, double Draw) {
   auto Spread = Settings.MaxWait - Settings.MinWait;
   auto Drawn = std::chrono::duration_cast<milliseconds>(Spread * Draw);
-  return {Settings.MinWait + Drawn,
+  return {Timing.LastReadFailed ? Settings.WaitAfterFailure
+                                : Settings.MinWait + Drawn,
           std::max(Timing.AnswerMargin, Settings.AnswerMargin)};
 }
 
--- a/src/membership/readtiming.h
+++ b/src/membership/readtiming.h
@@ -6,6 +6,9 @@
 /// become silent without being closed. If all readers then waited equally long
 /// for an answer, all of them would miss changes for that time. Each watch
 /// therefore draws its own wait, and little is added to it for the answer.
+///
+/// After a read without an answer, the next one does not wait for changes: its
+/// answer tells at once whether the platform is there.
 #pragma once
 
 #include "framework/timetypes.h"
@@ -18,6 +21,8 @@
   /// force after connections have been lost.
   framework::milliseconds MinWait{1'000};
   framework::milliseconds MaxWait{2'000};
+  /// Wait of the read after a failed one.
+  framework::milliseconds WaitAfterFailure{1};
   /// Time beyond the wait after which an answer is given up. It grows while
   /// answers fail, so that a slow platform is still read.
   framework::milliseconds AnswerMargin{500};
--- a/src/membership/tests/readtiming_tests.cpp
+++ b/src/membership/tests/readtiming_tests.cpp
@@ -46,6 +46,15 @@
   CHECK(planRead(Settings, Timing, 0.0).AnswerMargin == Settings.AnswerMargin);
 }
 
+// Guards against readers that learn only from the answer to a long watch that
+// the platform is there after a closed connection (DRAIN).
+TEST(ReadTiming, ReadAfterAFailureIsAnsweredAtOnce) {
+  recordRead(Settings, Timing, read_result::Failed);
+  CHECK(planRead(Settings, Timing, 0.9).Wait == Settings.WaitAfterFailure);
+  recordRead(Settings, Timing, read_result::Unchanged);
+  CHECK(planRead(Settings, Timing, 0.9).Wait >= Settings.MinWait);
+}
+
 TEST(ReadTiming, RefusedReadsNeedNoMoreTimeToAnswer) {
   recordRead(Settings, Timing, read_result::Failed);
   CHECK(planRead(Settings, Timing, 0.0).AnswerMargin == Settings.AnswerMargin);
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -5,6 +5,7 @@
 #include "node/wire.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace figplank::node {
@@ -70,11 +71,12 @@
     : Node(Node), Peers(Peers), Duty(Node, Peers),
       StartTime(readClocks().Monotonic), LastUpdate(StartTime) {
   Linearizable = Source.Linearizable;
+  Expiry = Source.Expiry;
   if (Source.Read) {
     Reader = std::make_unique<platform_reader>(
         std::move(Source), [this, &Mailbox](platform_update Update) {
-          Mailbox.post([this, Update = std::move(Update)]() {
-            applyPlatformUpdate(Update);
+          Mailbox.post([this, Update = std::move(Update)]() mutable {
+            applyPlatformUpdate(std::move(Update));
           });
         });
   }
@@ -125,16 +127,20 @@
 
 void disseminator::recordHighestRevision() {
   std::uint64_t Highest = configuration::highestRevision(Node.Store);
-  dissemination_counters &Metrics = Node.Metrics.Dissemination;
   Node.Metrics.Revision->Set(
       static_cast<double>(configuration::numberOf(Highest)));
-  std::uint64_t Era = configuration::eraOf(Highest);
-  if (Era == KnownEra) {
+  recordEra(configuration::eraOf(Highest));
+}
+
+void disseminator::recordEra(std::uint64_t Era) {
+  if (Era <= KnownEra) {
     return;
   }
   logEvent(log_level::Info, "platform_era_changed",
            {{"era", Era}, {"before", KnownEra}});
   KnownEra = Era;
+  Presence.CopySeen = readClocks().Monotonic;
+  dissemination_counters &Metrics = Node.Metrics.Dissemination;
   Metrics.EraChanges->Increment();
   Metrics.Era->Set(static_cast<double>(Era));
 }
@@ -207,6 +213,7 @@
   Reply.Highest = configuration::highestRevision(Node.Store);
   Reply.Summary = configuration::summaryDigest(Node.Store);
   Reply.Ready = Node.Condition.Ready && !Node.Condition.ViewStale;
+  Reply.Presence = membership::reportPresence(Presence, readClocks().Monotonic);
   if (PeerDigest.HasBuckets) {
     Reply.Entries = configuration::entriesInDifferingBuckets(
         Node.Store, PeerDigest.Buckets, Settings.MaxExchangeBytes);
@@ -226,11 +233,16 @@
     setBuckets(Request, Node.Store);
   }
   Node.Metrics.Dissemination.Exchanges->Increment();
-  auto Called =
-      co_await Peers.call(kj::addRef(Connection), kj::mv(Request),
-                          readClocks().Monotonic + Settings.CallTimeout);
+  const monotonic_time AskedAt = readClocks().Monotonic;
+  auto Called = co_await Peers.call(kj::addRef(Connection), kj::mv(Request),
+                                    AskedAt + Settings.CallTimeout);
   exchange_step Step;
   KJ_IF_MAYBE (Response, Called.Value) {
+    auto Report = readPresence(*Response);
+    if (Report) {
+      membership::adoptReport(Expiry, Presence, *Report, AskedAt,
+                              readClocks().Monotonic);
+    }
     std::vector<published_entry> NewEntries =
         apply(readEntries(Response->getEntries()));
     LastUpdate = readClocks().Monotonic;
@@ -384,9 +396,57 @@
   return Removed;
 }
 
-void disseminator::applyPlatformUpdate(const platform_update &Update) {
+void disseminator::recordPlatformAnswer(const platform_update &Update) {
+  auto Before = Presence.Answering;
+  if (!membership::recordAnswer(Expiry, Presence, Update.ReadAt)) {
+    return;
+  }
+  Node.Metrics.Dissemination.PlatformReturns->Increment();
+  // Without an answer before, the time away is not known.
+  std::int64_t AwayMs =
+      Before ? framework::inMilliseconds(Update.ReadAt - Before->End) : -1;
+  logEvent(log_level::Info, "platform_returned", {{"away_ms", AwayMs}});
+}
+
+bool disseminator::holdIfLacking(std::vector<published_entry> &Entries,
+                                 std::uint64_t ListedAt) {
+  if (!membership::mayLackEntries(Expiry, Presence, readClocks().Monotonic)) {
+    return false;
+  }
+  std::size_t Before = Entries.size();
+  configuration::holdRemovals(Held, Entries, ListedAt);
+  dissemination_counters &Metrics = Node.Metrics.Dissemination;
+  Metrics.RemovalsHeld->Increment(static_cast<double>(Before - Entries.size()));
+  Metrics.HeldRemovals->Set(static_cast<double>(Held.Removals.size()));
+  return true;
+}
+
+void disseminator::releaseRemovals(monotonic_time Now) {
+  if (configuration::isEmpty(Held) ||
+      membership::mayLackEntries(Expiry, Presence, Now)) {
+    return;
+  }
+  configuration::held_removals Due = configuration::takeHeld(Held);
+  Node.Metrics.Dissemination.HeldRemovals->Set(0);
+  std::vector<published_entry> Removals;
+  for (auto &[Key, Removal] : Due.Removals) {
+    Removals.push_back(std::move(Removal));
+  }
+  logEvent(log_level::Info, "removals_released",
+           {{"count", static_cast<std::uint64_t>(Removals.size())}});
+  std::vector<published_entry> NewEntries = apply(Removals);
+  configuration::recordListing(Node.Store, Due.ListedAt);
+  if (!NewEntries.empty()) {
+    pushToPeers(NewEntries, Settings.MaxHops);
+  }
+}
+
+void disseminator::applyPlatformUpdate(platform_update Update) {
   Node.Metrics.Dissemination.PlatformCalls->Increment(Update.Calls);
   LastReadSucceeded = Update.Reached;
+  if (isPresent(Update)) {
+    recordPlatformAnswer(Update);
+  }
   if (!Update.Reached) {
     auto Reason = static_cast<std::size_t>(Update.Failure);
     Node.Metrics.Dissemination.PlatformFailures[Reason]->Increment();
@@ -397,10 +457,16 @@
     Node.Condition.ViewStale = false;
     logEvent(log_level::Info, "view_refreshed", {{"from", "platform"}});
   }
-  std::vector<published_entry> NewEntries = apply(Update.Entries);
-  std::vector<published_entry> Removed = apply(findRemovedInstances(Update));
-  configuration::recordListing(Node.Store, Update.ListedAt);
-  NewEntries.insert(NewEntries.end(), Removed.begin(), Removed.end());
+  recordEra(configuration::eraOf(Update.Revision));
+  std::vector<published_entry> Entries = findRemovedInstances(Update);
+  Entries.insert(Entries.begin(),
+                 std::make_move_iterator(Update.Entries.begin()),
+                 std::make_move_iterator(Update.Entries.end()));
+  bool Holds = holdIfLacking(Entries, Update.ListedAt);
+  std::vector<published_entry> NewEntries = apply(Entries);
+  if (!Holds) {
+    configuration::recordListing(Node.Store, Update.ListedAt);
+  }
   if (!NewEntries.empty()) {
     LastUpdate = readClocks().Monotonic;
     pushToPeers(NewEntries, Settings.MaxHops);
@@ -433,6 +499,7 @@
 
 void disseminator::tick(framework::time_now Now) {
   updateReadiness(Now.Monotonic);
+  releaseRemovals(Now.Monotonic);
   if (Reader == nullptr) {
     return;
   }
@@ -468,6 +535,8 @@
 
 void disseminator::resumeAfterPause(framework::time_now Now) {
   Node.Condition.ViewStale = true;
+  // The clock may not have counted the pause.
+  Presence.Answering.reset();
   execution::refuseIdsIssuedUntil(Node.Home, Now.Wall);
   routing::clearViews(Node.Upstreams);
   LastUpdate = Now.Monotonic;
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -8,6 +8,8 @@
 /// the configuration in memory only.
 #pragma once
 
+#include "configuration/heldremovals.h"
+#include "membership/presence.h"
 #include "node/mailbox.h"
 #include "node/peers.h"
 #include "node/platformreader.h"
@@ -63,6 +65,8 @@
   std::uint64_t Highest = 0;
   std::uint64_t Summary = 0;
   bool Ready = false;
+  /// What the peer knows of the platform's answers; nothing if none.
+  std::optional<membership::presence_report> Presence;
 };
 
 class disseminator {
@@ -146,7 +150,16 @@
   void updateNodeLists();
   /// Reports the highest revision and, where it has changed, the era.
   void recordHighestRevision();
-  void applyPlatformUpdate(const platform_update &Update);
+  /// Notes the era of the platform's data, if it is a new one.
+  void recordEra(std::uint64_t Era);
+  void applyPlatformUpdate(platform_update Update);
+  void recordPlatformAnswer(const platform_update &Update);
+  /// Holds the removals of instances in \p Entries back while the platform may
+  /// lack instances that run. Returns whether it does so.
+  bool holdIfLacking(std::vector<configuration::published_entry> &Entries,
+                     std::uint64_t ListedAt);
+  /// Applies the removals held back, once the platform lacks nothing.
+  void releaseRemovals(framework::monotonic_time Now);
   /// Notes that a peer answered an exchange. \p PeerReady says whether the
   /// peer's own configuration is complete and current.
   void recordPeerAnswer(bool PeerReady);
@@ -171,6 +184,9 @@
   bool ReadyPeerAnswered = false;
   /// Era of the highest revision, see configuration/revision.h.
   std::uint64_t KnownEra = 0;
+  membership::entry_expiry Expiry;
+  membership::platform_presence Presence;
+  configuration::held_removals Held;
   std::size_t NextSeed = 0;
   membership::unresponsive_peers Unresponsive;
   std::size_t RunningExchanges = 0;
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -131,6 +131,19 @@
   Counters.EraChanges = addCounter(
       To, "figplank_platform_era_changes_total",
       "Returns of the platform from an older copy that were noticed");
+  Counters.PlatformReturns = addCounter(
+      To, "figplank_platform_returns_total",
+      "Answers of the platform after it can have been away for long");
+  Counters.RemovalsHeld =
+      addCounter(To, "figplank_removals_held_total",
+                 "Removals of instances that were held back after a return of "
+                 "the platform");
+  Counters.HeldRemovals =
+      &prometheus::BuildGauge()
+           .Name("figplank_held_removals")
+           .Help("Removals of instances that are held back now")
+           .Register(To)
+           .Add({});
   Counters.Era = &prometheus::BuildGauge()
                       .Name("figplank_platform_era")
                       .Help("Era of the platform's data")
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -41,6 +41,9 @@
   prometheus::Counter *EntriesNotNewer = nullptr;
   prometheus::Counter *EntriesOutdated = nullptr;
   prometheus::Counter *EraChanges = nullptr;
+  prometheus::Counter *PlatformReturns = nullptr;
+  prometheus::Counter *RemovalsHeld = nullptr;
+  prometheus::Gauge *HeldRemovals = nullptr;
   prometheus::Gauge *Era = nullptr;
   prometheus::Counter *Pushes = nullptr;
   prometheus::Counter *Exchanges = nullptr;
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -17,6 +17,8 @@
 
 constexpr framework::milliseconds ConnectTimeout{500};
 
+constexpr int HttpTooManyRequests = 429;
+
 read_result resultOf(const platform_update &Update) {
   if (Update.Reached) {
     return Update.Entries.empty() ? read_result::Unchanged
@@ -66,13 +68,24 @@
   return Answer;
 }
 
-read_failure failureOf(const httplib::Result &Result) {
+bool isPresent(const platform_update &Update) {
+  return Update.Reached || Update.Failure == read_failure::RateLimited;
+}
+
+read_failure failureOf(const httplib::Result &Result,
+                       framework::milliseconds Waited,
+                       framework::milliseconds MaxSilence) {
   if (Result) {
-    return read_failure::Refused;
+    return Result->status == HttpTooManyRequests ? read_failure::RateLimited
+                                                 : read_failure::Refused;
   }
   bool Unconnected = Result.error() == httplib::Error::Connection ||
                      Result.error() == httplib::Error::ConnectionTimeout;
-  return Unconnected ? read_failure::NoConnection : read_failure::NoAnswer;
+  if (Unconnected) {
+    return read_failure::NoConnection;
+  }
+  return Waited < MaxSilence ? read_failure::ConnectionClosed
+                             : read_failure::NoAnswer;
 }
 
 namespace {
@@ -81,11 +94,17 @@
   const membership::read_times &Times = Request.Times;
   std::string Path = "/v1/watch?after=" + std::to_string(Request.After) +
                      "&wait_ms=" + std::to_string(Times.Wait.count());
-  Client.set_read_timeout(Times.Wait + Times.AnswerMargin);
+  const framework::milliseconds MaxSilence = Times.Wait + Times.AnswerMargin;
+  Client.set_read_timeout(MaxSilence);
+  const framework::monotonic_time Start = framework::readClocks().Monotonic;
   auto Result = Client.Get(Path);
   platform_update Update;
   if (!Result || Result->status != 200) {
-    Update.Failure = failureOf(Result);
+    Update.Failure =
+        failureOf(Result,
+                  std::chrono::duration_cast<framework::milliseconds>(
+                      framework::readClocks().Monotonic - Start),
+                  MaxSilence);
     return Update;
   }
   auto Answer = parseWatchAnswer(Result->body);
@@ -111,7 +130,7 @@
   }
   return {
       [Client](const read_request &Request) { return watch(*Client, Request); },
-      [Client]() { Client->stop(); }, false};
+      [Client]() { Client->stop(); }, false, {}};
 }
 
 platform_reader::platform_reader(platform_source Source,
@@ -174,6 +193,7 @@
         framework::log_level::Error, "platform_read_failed",
         {{"after", Request.After}, {"error", Exception.what()}});
   }
+  Update.ReadAt = framework::readClocks().Monotonic;
   std::lock_guard<std::mutex> Lock(Mutex);
   // The cursor follows the platform's revision even when that has decreased.
   // The node's store ignores entries that are older than its own.
--- a/src/node/platformreader.h
+++ b/src/node/platformreader.h
@@ -5,6 +5,7 @@
 
 #include "configuration/configurationtypes.h"
 #include "framework/enumnames.h"
+#include "membership/presence.h"
 #include "membership/readtiming.h"
 
 #include <array>
@@ -29,20 +30,25 @@
 enum class read_failure : std::uint8_t {
   /// No connection could be opened.
   NoConnection,
-  /// The connection ended or stayed silent until the time for the answer was
-  /// over.
+  /// The connection stayed silent until the time for the answer was over.
   NoAnswer,
+  /// The connection was closed before that.
+  ConnectionClosed,
   /// The platform answered with a failure.
   Refused,
+  /// The platform turned the call away because there were too many.
+  RateLimited,
   /// The answer could not be read.
   Malformed,
 };
 
-inline constexpr std::array<framework::enum_name<read_failure>, 4>
+inline constexpr std::array<framework::enum_name<read_failure>, 6>
     ReadFailureNames{{
         {read_failure::NoConnection, "no_connection"},
         {read_failure::NoAnswer, "no_answer"},
+        {read_failure::ConnectionClosed, "connection_closed"},
         {read_failure::Refused, "refused"},
+        {read_failure::RateLimited, "rate_limited"},
         {read_failure::Malformed, "malformed"},
     }};
 
@@ -60,8 +66,13 @@
   std::uint64_t ListedAt = 0;
   /// Number of calls made to the platform for this read.
   unsigned Calls = 1;
+  /// When the read ended.
+  framework::monotonic_time ReadAt;
 };
 
+/// Whether the platform answered, if only to say that it is asked too often.
+bool isPresent(const platform_update &Update);
+
 /// What a read of the platform asks for.
 struct read_request {
   /// The revision after which entries are new.
@@ -81,6 +92,8 @@
   /// read by any node. A starting node then needs an answer from either the
   /// platform or a ready peer, not from both.
   bool Linearizable = false;
+  /// How the platform's entries of instances expire; by default never.
+  membership::entry_expiry Expiry;
 };
 
 /// The source that reads the platform by `GET /v1/watch`, see
@@ -99,8 +112,11 @@
 /// malformed.
 std::optional<watch_answer> parseWatchAnswer(const std::string &Body);
 
-/// Why a call ended without the answer that was asked for.
-read_failure failureOf(const httplib::Result &Result);
+/// Why a call ended without the answer that was asked for. It took \p Waited;
+/// the connection may be silent for \p MaxSilence.
+read_failure failureOf(const httplib::Result &Result,
+                       framework::milliseconds Waited,
+                       framework::milliseconds MaxSilence);
 
 class platform_reader {
 public:
--- a/src/node/rpcservice.cpp
+++ b/src/node/rpcservice.cpp
@@ -115,6 +115,9 @@
   Results.setHighest(Reply.Highest);
   Results.setSummary(Reply.Summary);
   Results.setReady(Reply.Ready);
+  if (Reply.Presence) {
+    writePresence(Results, *Reply.Presence);
+  }
   return kj::READY_NOW;
 }
 
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -14,6 +14,16 @@
 /// Maximum number of fingerprints accepted from one crash report.
 constexpr unsigned MaxReportedFingerprints = 10'000;
 
+/// In place of an age: there was no such event.
+constexpr std::uint32_t UnknownAge = 0xffffffff;
+
+/// Limited to the longest age that the message can hold.
+std::uint32_t toWireAge(framework::milliseconds Age) {
+  constexpr std::int64_t MaxAge = UnknownAge - 1;
+  return static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(Age.count(), 0, MaxAge));
+}
+
 std::string_view toView(capnp::Text::Reader Text) {
   return {Text.begin(), Text.size()};
 }
@@ -280,6 +290,24 @@
   return Entries;
 }
 
+void writePresence(rpc::Node::ExchangeResults::Builder To,
+                   const membership::presence_report &Report) {
+  To.setAnsweringSinceMs(toWireAge(Report.SinceBegin));
+  To.setAnsweredAgoMs(toWireAge(Report.SinceEnd));
+}
+
+std::optional<membership::presence_report>
+readPresence(rpc::Node::ExchangeResults::Reader From) {
+  bool IsKnown = From.getAnsweringSinceMs() != UnknownAge &&
+                 From.getAnsweredAgoMs() != UnknownAge;
+  if (!IsKnown) {
+    return std::nullopt;
+  }
+  return membership::presence_report{
+      framework::milliseconds(From.getAnsweringSinceMs()),
+      framework::milliseconds(From.getAnsweredAgoMs())};
+}
+
 void writeCrashReport(rpc::CrashReport::Builder To,
                       const retry::crash_report &From) {
   To.setCrashId(From.CrashId);
--- a/src/node/wire.h
+++ b/src/node/wire.h
@@ -4,6 +4,7 @@
 
 #include "configuration/configurationtypes.h"
 #include "execution/home.h"
+#include "membership/presence.h"
 #include "node/worktypes.h"
 #include "retry/suspects.h"
 #include "rpc/node.capnp.h"
@@ -42,6 +43,12 @@
 std::vector<configuration::published_entry>
 readEntries(capnp::List<rpc::Entry>::Reader From);
 
+void writePresence(rpc::Node::ExchangeResults::Builder To,
+                   const membership::presence_report &Report);
+/// Returns nothing if the peer knows of no answer of the platform.
+std::optional<membership::presence_report>
+readPresence(rpc::Node::ExchangeResults::Reader From);
+
 void writeCrashReport(rpc::CrashReport::Builder To,
                       const retry::crash_report &From);
 
--- a/src/rpc/node.capnp
+++ b/src/rpc/node.capnp
@@ -125,9 +125,14 @@
   # on with one hop less, until hops is 0.
 
   exchange @3 (highest :UInt64, summary :UInt64, buckets :List(UInt64))
-      -> (entries :List(Entry), highest :UInt64, summary :UInt64, ready :Bool);
+      -> (entries :List(Entry), highest :UInt64, summary :UInt64, ready :Bool,
+          answeringSinceMs :UInt32 = 0xffffffff,
+          answeredAgoMs :UInt32 = 0xffffffff);
   # Anti-entropy: returns entries that the caller lacks. The caller leaves
   # buckets empty unless the summaries differ at equal highest revisions.
+  # answeringSinceMs and answeredAgoMs are the times since the beginning and the
+  # end of the latest span in which the platform is known to have answered; the
+  # defaults say that it is not known to.
 
   notify @4 (crashes :List(CrashReport), draining :List(Text)) -> ();
   # Notifies the other nodes of the service of backend server crashes and of the
--- a/src/rpc/node.capnp.h
+++ b/src/rpc/node.capnp.h
@@ -327,7 +327,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eee2747029e83baf, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(eee2747029e83baf, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2170,6 +2170,10 @@
 
   inline bool getReady() const;
 
+  inline  ::uint32_t getAnsweringSinceMs() const;
+
+  inline  ::uint32_t getAnsweredAgoMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2214,6 +2218,12 @@
   inline bool getReady();
   inline void setReady(bool value);
 
+  inline  ::uint32_t getAnsweringSinceMs();
+  inline void setAnsweringSinceMs( ::uint32_t value);
+
+  inline  ::uint32_t getAnsweredAgoMs();
+  inline void setAnsweredAgoMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4452,6 +4462,34 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Node::ExchangeResults::Reader::getAnsweringSinceMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Node::ExchangeResults::Builder::getAnsweringSinceMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Node::ExchangeResults::Builder::setAnsweringSinceMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
+inline  ::uint32_t Node::ExchangeResults::Reader::getAnsweredAgoMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 4294967295u);
+}
+
+inline  ::uint32_t Node::ExchangeResults::Builder::getAnsweredAgoMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, 4294967295u);
+}
+inline void Node::ExchangeResults::Builder::setAnsweredAgoMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value, 4294967295u);
+}
+
 inline bool Node::NotifyParams::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -57,6 +57,10 @@
   });
 }
 
+void relay::closeConnections() {
+  Loop.run([this]() { Connections.clear(); });
+}
+
 void relay::silence() {
   Loop.run([this]() {
     for (std::unique_ptr<forwarded_connection> &Connection : Connections) {
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -30,6 +30,8 @@
   /// Closes all connections from source addresses that begin with one of
   /// \p Prefixes, such as `127.0.2.`, and closes new ones on acceptance.
   void block(const std::vector<std::string> &Prefixes);
+  /// Closes all connections; new ones are forwarded.
+  void closeConnections();
   /// Stops forwarding on all open connections but leaves them open. New
   /// connections are forwarded.
   void silence();
