An upstream's first answer is no measure of it, and small differences decide nothing

Cause: recordLatency() took the first answer, with the time of opening connections, as the baseline. The upstream that gave it then had a ratio far below 1, and one that wasn't measured counts as 1 and lost each comparison; its own slow first answer did the same to it. Costs that differed by a hundredth decided as much as those that differed threefold.

Change: the first answer of an upstream isn't measured. The baseline keeps to the faster answers (it falls five times as fast as it rises) and no ratio is below 1, so that an upstream that wasn't measured is never taken for a slow one. Costs within a tenth of each other are equal, and the load decides.

Tests: SlowFirstAnswerKeepsNoOtherUpstreamAway (400 seeds each for first answers of 3, 50, 100 and 1,000 ms), SlowFirstAnswerKeepsItsUpstreamInUse and SmallDifferenceOfLatencyLeavesTheChoiceToTheLoad failed with the old code.

--- a/src/routing/tests/upstreams_tests.cpp
+++ b/src/routing/tests/upstreams_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <random>
+
 using namespace figplank;
 using namespace figplank::routing;
 using framework::milliseconds;
@@ -197,3 +199,72 @@
   LONGS_EQUAL(1, Listed.size());
   STRCMP_EQUAL("new", Listed[0].Name.c_str());
 }
+
+namespace {
+
+/// Two idle upstreams, and one caller that sends a request when the one before
+/// is answered. The first answer of "a" takes FirstMs, all others UsualMs.
+struct idle_pair {
+  static constexpr int UsualMs = 3;
+  int FirstMs = UsualMs;
+  unsigned Seed = 0;
+
+  /// Number of requests up to the first one that "b" gets.
+  int requestsUntilOtherIsTried() const {
+    constexpr int MaxRequests = 2'000;
+    upstream_table Table;
+    const std::vector<candidate> Pair{{"a", "z1", "a"}, {"b", "z1", "b"}};
+    std::mt19937 Random(Seed);
+    std::uniform_real_distribution<double> Draw;
+    int NowMs = 1'000;
+    for (int I = 0; I < MaxRequests; ++I) {
+      // The draws of the first request lead to "a".
+      choice_draws Draws{I == 0 ? 0.0 : Draw(Random), Draw(Random)};
+      const candidate *Chosen =
+          chooseUpstream(Table, Pair, "z1", {}, Draws, at(NowMs));
+      if (Chosen->Address == "b") {
+        return I;
+      }
+      recordStart(Table, "a");
+      int LatencyMs = I == 0 ? FirstMs : UsualMs;
+      NowMs += LatencyMs;
+      recordAnswer(Table, "a", loadOf(16, 0), at(NowMs));
+      recordLatency(Table, "a", "read", milliseconds(LatencyMs), at(NowMs));
+    }
+    return MaxRequests;
+  }
+};
+
+} // namespace
+
+// Guards against an upstream that gets nothing for seconds, because the first
+// answer of another one was slow.
+TEST(Upstreams, SlowFirstAnswerKeepsNoOtherUpstreamAway) {
+  constexpr unsigned Seeds = 400;
+  for (int FirstMs : {3, 50, 100, 1'000}) {
+    for (unsigned Seed = 0; Seed < Seeds; ++Seed) {
+      CHECK((idle_pair{FirstMs, Seed}.requestsUntilOtherIsTried()) <= 20);
+    }
+  }
+}
+
+// Guards against an upstream that gets nothing for seconds, because its own
+// first answer was slow.
+TEST(Upstreams, SlowFirstAnswerKeepsItsUpstreamInUse) {
+  recordLatency(Table, "a", "read", milliseconds(3), at(1'000));
+  recordLatency(Table, "b", "read", milliseconds(100), at(1'000));
+  for (int I = 0; I < 10; ++I) {
+    recordLatency(Table, "a", "read", milliseconds(3), at(1'001 + I));
+  }
+  STRCMP_EQUAL("b", choose({0.6, 0.0}, 1'012).c_str());
+}
+
+TEST(Upstreams, SmallDifferenceOfLatencyLeavesTheChoiceToTheLoad) {
+  for (int I = 0; I < 60; ++I) {
+    recordLatency(Table, "a", "read", milliseconds(50), at(100));
+    recordLatency(Table, "b", "read", milliseconds(52), at(100));
+  }
+  answer("a", loadOf(10, 3));
+  answer("b", loadOf(10, 1));
+  STRCMP_EQUAL("b", choose({0.0, 0.0}).c_str());
+}
--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -105,8 +105,15 @@
   });
 }
 
+bool areAboutEqual(const routing_settings &Settings, double Left,
+                   double Right) {
+  return std::abs(Left - Right) <=
+         Settings.EqualCostFraction * std::min(Left, Right);
+}
+
 /// Draws two members of \p List and returns the one with the lower cost, or at
-/// equal cost the one with the lower load. Returns null if \p List is empty.
+/// about equal cost the one with the lower load. Returns null if \p List is
+/// empty.
 const candidate *betterOfTwo(const upstream_table &Table,
                              const candidate_list &List, choice_draws Draws,
                              monotonic_time Now) {
@@ -122,7 +129,7 @@
   Second += Second >= First ? 1 : 0;
   double FirstCost = costOf(Table, List[First]->Address, Now);
   double SecondCost = costOf(Table, List[Second]->Address, Now);
-  if (FirstCost == SecondCost) {
+  if (areAboutEqual(Table.Settings, FirstCost, SecondCost)) {
     FirstCost = loadOf(Table, List[First]->Address, Now);
     SecondCost = loadOf(Table, List[Second]->Address, Now);
   }
@@ -242,17 +249,24 @@
                    monotonic_time Now) {
   constexpr double MicrosecondsPerMs = 1000.0;
   constexpr double MinMs = 0.1;
+  constexpr double MinRatio = 1.0;
   constexpr double MaxRatio = 8.0;
+  upstream_view &View = findOrAddView(Table, Address);
+  if (!View.HasAnswered) {
+    View.HasAnswered = true;
+    return;
+  }
   double Ms =
       std::max(MinMs, static_cast<double>(Latency.count()) / MicrosecondsPerMs);
   auto Baseline = Table.BaselineMs.find(Kind);
   if (Baseline == Table.BaselineMs.end()) {
     Baseline = Table.BaselineMs.try_emplace(std::string(Kind), Ms).first;
   }
-  double Ratio = std::min(MaxRatio, Ms / Baseline->second);
-  Baseline->second +=
-      Table.Settings.BaselineSmoothing * (Ms - Baseline->second);
-  upstream_view &View = findOrAddView(Table, Address);
+  double Ratio = std::clamp(Ms / Baseline->second, MinRatio, MaxRatio);
+  double Smoothing = Ms > Baseline->second
+                         ? Table.Settings.BaselineRiseSmoothing
+                         : Table.Settings.BaselineFallSmoothing;
+  Baseline->second += Smoothing * (Ms - Baseline->second);
   View.LatencyRatio = latencyRatioAt(Table.Settings, View, Now);
   View.LatencyMeasuredAt = Now;
   View.LatencyRatio +=
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -60,8 +60,11 @@
   /// requests; a later one does.
   incarnation Leaving;
   /// Moving average of the ratio of this upstream's latency to the baseline of
-  /// the same kind of request, both as measured by this node.
+  /// the same kind of request, both as measured by this node; at least 1.
   double LatencyRatio = 1.0;
+  /// Whether it has answered. The first answer takes the time of opening
+  /// connections as well, and is not measured.
+  bool HasAnswered = false;
   /// When LatencyRatio was last updated.
   framework::monotonic_time LatencyMeasuredAt;
 };
@@ -86,10 +89,15 @@
   /// below this fraction of that of the local choice, because traffic between
   /// zones is expensive.
   double SpilloverCostFactor = 0.8;
-  /// Weights of a new sample in the moving averages LatencyRatio and
-  /// BaselineMs.
+  /// Weight of a new sample in the moving average LatencyRatio.
   double LatencyRatioSmoothing = 0.1;
-  double BaselineSmoothing = 0.02;
+  /// Weights of a new sample in BaselineMs if it is higher, and if it is lower.
+  /// The baseline keeps to the faster answers, so that hardly any is below it.
+  double BaselineRiseSmoothing = 0.02;
+  double BaselineFallSmoothing = 0.1;
+  /// Costs that differ by less than this fraction are taken to be equal, and
+  /// the load decides.
+  double EqualCostFraction = 0.1;
   /// Time without a new measurement after which a LatencyRatio begins to fade,
   /// and in which it then halves its distance from 1. Otherwise an upstream
   /// that was slow once would never be measured again while others have room.
@@ -102,8 +110,9 @@
 /// The upstreams that this node calls.
 struct upstream_table {
   routing_settings Settings;
-  /// Moving average of the latency in milliseconds over all upstreams, by kind
-  /// of request.
+  /// Latency in milliseconds of the faster answers of all upstreams, by kind of
+  /// request. Upstreams that were not measured are taken to be as fast, so that
+  /// they are tried.
   configuration::text_map<double> BaselineMs;
   /// By the upstream's address.
   configuration::text_map<upstream_view> Views;
@@ -158,7 +167,8 @@
 void recordAnswer(upstream_table &Table, std::string_view Address,
                   const reported_load &Load, framework::monotonic_time Now);
 
-/// Records the latency of an answer to a request of kind \p Kind.
+/// Records the latency of an answer to a request of kind \p Kind. The first
+/// answer of an upstream doesn't count.
 void recordLatency(upstream_table &Table, std::string_view Address,
                    std::string_view Kind, framework::microseconds Latency,
                    framework::monotonic_time Now);
