A request waits for a slot while the limit rises from a cold start

Cause: a request of a route waits for 0.4 of its latency objective at most, and the limit begins at a quarter of the slots. It rose only in windows in which a request had ended, which takes longer than the wait if the first requests are long. The reason given was that of another case.

Change: from a cold start until something has lowered the limit, it rises also in windows that only running requests use; a request isn't refused for its objective while it rises (0.7 s at most, since it ends at the slots or with a failure). The reason of that refusal is overload, for that is what it is; deadline_unreachable is left to deadlines.

--- a/src/admission/concurrencylimit.cpp
+++ b/src/admission/concurrencylimit.cpp
@@ -26,10 +26,15 @@
 /// The factor that the ended window applies to the limit.
 double windowFactor(const concurrency_limit &Limit) {
   double Ended = Limit.Completed + Limit.Failed + Limit.TimedOut;
-  if (Limit.ShedInWindow || Ended <= 0.0) {
+  bool MayGrow = Ended > 0.0 || Limit.IsRamping;
+  if (Limit.ShedInWindow || !MayGrow) {
     return 1.0;
   }
   const limit_settings &Settings = Limit.Settings;
+  bool WasUsed = Limit.PeakInFlight >= std::floor(MinUtilisation * Limit.Limit);
+  if (Ended <= 0.0) {
+    return WasUsed ? Settings.GrowthFactor : 1.0;
+  }
   if (Limit.Failed >= Settings.FailureThreshold * Ended &&
       Settings.DecreaseOnFailures) {
     return Settings.FailureFactor;
@@ -37,7 +42,6 @@
   if (Limit.TimedOut >= Settings.FailureThreshold * Ended) {
     return Settings.TimeoutFactor;
   }
-  bool WasUsed = Limit.PeakInFlight >= std::floor(MinUtilisation * Limit.Limit);
   return WasUsed ? Settings.GrowthFactor : 1.0;
 }
 
@@ -60,6 +64,11 @@
 
 void resetToColdStart(concurrency_limit &Limit) {
   Limit.Limit = std::min(Limit.Limit, coldStartLimit(Limit.Settings));
+  Limit.IsRamping = true;
+}
+
+bool isRamping(const concurrency_limit &Limit) {
+  return Limit.IsRamping && Limit.Limit < Limit.Settings.Slots;
 }
 
 void reserveSlots(concurrency_limit &Limit, std::uint8_t Rank) {
@@ -109,6 +118,7 @@
       double Concurrency = std::min(Limit.Limit, static_cast<double>(Running));
       Limit.Limit = std::max(MinLimit, Concurrency * Limit.Settings.ShedFactor);
       Limit.ShedInWindow = true;
+      Limit.IsRamping = false;
     }
     break;
   }
@@ -118,7 +128,9 @@
   if (Now < Limit.WindowEnd) {
     return false;
   }
-  Limit.Limit *= windowFactor(Limit);
+  double Factor = windowFactor(Limit);
+  Limit.Limit *= Factor;
+  Limit.IsRamping &= Factor >= 1.0 && Limit.Limit < Limit.Settings.Slots;
   Limit.Limit = std::clamp(Limit.Limit, MinLimit,
                            std::max(MinLimit, Limit.Settings.Slots));
   double Ended = Limit.Completed + Limit.Failed + Limit.TimedOut;
--- a/src/admission/concurrencylimit.h
+++ b/src/admission/concurrencylimit.h
@@ -4,10 +4,11 @@
 ///
 /// The configured number of slots is the upper bound. After a cold start the
 /// limit begins low. It grows while most of it is in use (multiplicative
-/// increase). A request shed by the backend server decreases it at once; a
-/// window in which many requests failed or timed out decreases it when the
-/// window ends (multiplicative decrease), so that a server that fails fast does
-/// not attract traffic.
+/// increase), at first also before any request has ended: a limit that only
+/// long requests use says nothing against the server. A request shed by the
+/// backend server decreases it at once; a window in which many requests failed
+/// or timed out decreases it when the window ends (multiplicative decrease), so
+/// that a server that fails fast does not attract traffic.
 #pragma once
 
 #include "framework/timetypes.h"
@@ -65,6 +66,8 @@
   /// Whether the limit was already decreased for a shed request in this window.
   bool ShedInWindow = false;
   framework::monotonic_time WindowEnd;
+  /// Whether the limit rises from a cold start and nothing has lowered it yet.
+  bool IsRamping = true;
   /// Fraction of the requests that failed in the last window in which any
   /// request completed, failed or timed out.
   double FailureRate = 0.0;
@@ -81,6 +84,10 @@
 /// or is unreachable and its replacement starts cold.
 void resetToColdStart(concurrency_limit &Limit);
 
+/// Whether the limit is about to rise: it comes from a cold start, and the
+/// server has slots that it doesn't use yet.
+bool isRamping(const concurrency_limit &Limit);
+
 /// Reserves some slots for \p Rank and more urgent ranks.
 void reserveSlots(concurrency_limit &Limit, std::uint8_t Rank);
 
--- a/src/admission/tests/concurrencylimit_tests.cpp
+++ b/src/admission/tests/concurrencylimit_tests.cpp
@@ -54,6 +54,35 @@
   DOUBLES_EQUAL(4.0, Limit.Limit, 0.01);
 }
 
+// Guards against a cold server whose slots stay unused, since its first
+// requests last longer than a window.
+TEST(ConcurrencyLimit, GrowsFromColdStartBeforeARequestHasEnded) {
+  CHECK(isRamping(Limit));
+  for (int I = 0; I < 20; ++I) {
+    while (hasFreeSlot(Limit, LeastUrgentRank)) {
+      acquireSlot(Limit);
+    }
+    Now += milliseconds(100);
+    advanceLimit(Limit, Now);
+  }
+  DOUBLES_EQUAL(40.0, Limit.Limit, 0.01);
+  CHECK_FALSE(isRamping(Limit));
+}
+
+TEST(ConcurrencyLimit, LoweredLimitGrowsOnlyWithAnswers) {
+  runWindows(Limit, Now, 1, run_result::TimedOut);
+  CHECK_FALSE(isRamping(Limit));
+  double Lowered = Limit.Limit;
+  while (hasFreeSlot(Limit, LeastUrgentRank)) {
+    acquireSlot(Limit);
+  }
+  Now += milliseconds(100);
+  advanceLimit(Limit, Now);
+  DOUBLES_EQUAL(Lowered, Limit.Limit, 0.01);
+  resetToColdStart(Limit);
+  CHECK(isRamping(Limit));
+}
+
 TEST(ConcurrencyLimit, DoesNotGrowWhileUnused) {
   for (int I = 0; I < 20; ++I) {
     acquireSlot(Limit);
--- a/src/node/backendqueue.cpp
+++ b/src/node/backendqueue.cpp
@@ -13,6 +13,9 @@
 constexpr framework::milliseconds RefusalMargin{10};
 /// Fraction of its latency objective that a request may spend in the queue.
 constexpr double QueueFractionOfObjective = 0.4;
+/// Interval at which a request that waits for a rising limit looks whether it
+/// still rises.
+constexpr framework::milliseconds RampCheckInterval{20};
 
 } // namespace
 
@@ -53,12 +56,8 @@
     drop(*Dropped);
   }
   grantFreeSlots();
-  refusal_reason TimeoutReason = Node.RateLimit.PerSecond
-                                     ? refusal_reason::ServerLimit
-                                     : refusal_reason::DeadlineUnreachable;
   kj::Promise<refusal_reason> Timeout =
-      Node.Timer.afterDelay(toDuration(maxQueueWait(Request, Now)))
-          .then([TimeoutReason]() { return TimeoutReason; });
+      awaitWaitLimit(queueWaitLimits(Request, Now), Now);
   kj::Promise<refusal_reason> Either =
       Pair.promise.exclusiveJoin(kj::mv(Timeout));
   refusal_reason Reason = co_await kj::mv(Either);
@@ -67,10 +66,32 @@
   co_return Reason;
 }
 
-framework::microseconds backend_queue::maxQueueWait(const work_request &Request,
-                                                    monotonic_time Now) const {
+task<refusal_reason> backend_queue::awaitWaitLimit(wait_limits Limits,
+                                                   monotonic_time Now) {
+  const bool HasServerLimit = Node.RateLimit.PerSecond.has_value();
+  co_await Node.Timer.afterDelay(toDuration(Limits.Objective));
+  // NOTE While the limit rises, the server has slots that are not used yet. A
+  // refusal would be worse than the short wait for one of them.
+  const monotonic_time End = Now + Limits.Deadline;
+  while (!HasServerLimit && admission::isRamping(Node.Limit) &&
+         readClocks().Monotonic < End) {
+    framework::microseconds Left = End - readClocks().Monotonic;
+    framework::microseconds Step =
+        std::min<framework::microseconds>(Left, RampCheckInterval);
+    co_await Node.Timer.afterDelay(toDuration(Step));
+  }
+  if (HasServerLimit) {
+    co_return refusal_reason::ServerLimit;
+  }
+  co_return readClocks().Monotonic < End ? refusal_reason::Overload
+                                         : refusal_reason::DeadlineUnreachable;
+}
+
+backend_queue::wait_limits
+backend_queue::queueWaitLimits(const work_request &Request,
+                               monotonic_time Now) const {
   if (!Request.Forwarded) {
-    return Request.Deadline - Now;
+    return {Request.Deadline - Now, Request.Deadline - Now};
   }
   // NOTE The refusal must reach the entry before the deadline. Otherwise the
   // entry has to report an unknown outcome.
@@ -81,7 +102,7 @@
       Request.Depth == 0 && Request.LatencyObjective.count() > 0;
   auto ObjectiveWait = std::chrono::duration_cast<framework::microseconds>(
       Request.LatencyObjective * QueueFractionOfObjective);
-  return LimitedByObjective ? std::min(Left, ObjectiveWait) : Left;
+  return {Left, LimitedByObjective ? std::min(Left, ObjectiveWait) : Left};
 }
 
 void backend_queue::grant(admission_permit &Permit, monotonic_time Now) {
--- a/src/node/backendqueue.h
+++ b/src/node/backendqueue.h
@@ -60,9 +60,19 @@
 
   /// The least urgent rank that has a free slot now; nothing if no rank has.
   std::optional<std::uint8_t> leastUrgentRankWithFreeSlot() const;
-  /// Maximum time that \p Request may wait in the queue.
-  framework::microseconds maxQueueWait(const work_request &Request,
-                                       framework::monotonic_time Now) const;
+  /// How long a request may wait in the queue.
+  struct wait_limits {
+    /// Until it could not end before its deadline.
+    framework::microseconds Deadline{0};
+    /// Until others are more likely to meet their latency objectives; at most
+    /// as long.
+    framework::microseconds Objective{0};
+  };
+  wait_limits queueWaitLimits(const work_request &Request,
+                              framework::monotonic_time Now) const;
+  /// Waits for as long as a request may. Returns why it is refused then.
+  task<framework::refusal_reason> awaitWaitLimit(wait_limits Limits,
+                                                 framework::monotonic_time Now);
   void drop(const admission::dropped_work &Dropped);
   /// Gives \p Permit a free slot and counts its request as sent.
   void grant(admission_permit &Permit, framework::monotonic_time Now);
