The baseline of latency is an average again, whose first samples count equally

Cause: a baseline that keeps to the faster answers makes ratios larger and more different, so that zones looked slow to each other and requests went to other zones, where calls of chains found no place.

Change: a moving average as before; the first 50 samples count equally, so that no single one is kept for long. That the first answer isn't measured and that small differences leave the choice to the load stays; their tests pass.

--- a/src/routing/upstreams.cpp
+++ b/src/routing/upstreams.cpp
@@ -249,7 +249,6 @@
                    monotonic_time Now) {
   constexpr double MicrosecondsPerMs = 1000.0;
   constexpr double MinMs = 0.1;
-  constexpr double MinRatio = 1.0;
   constexpr double MaxRatio = 8.0;
   upstream_view &View = findOrAddView(Table, Address);
   if (!View.HasAnswered) {
@@ -258,15 +257,17 @@
   }
   double Ms =
       std::max(MinMs, static_cast<double>(Latency.count()) / MicrosecondsPerMs);
-  auto Baseline = Table.BaselineMs.find(Kind);
-  if (Baseline == Table.BaselineMs.end()) {
-    Baseline = Table.BaselineMs.try_emplace(std::string(Kind), Ms).first;
+  auto Found = Table.Baselines.find(Kind);
+  if (Found == Table.Baselines.end()) {
+    Found = Table.Baselines.try_emplace(std::string(Kind)).first;
   }
-  double Ratio = std::clamp(Ms / Baseline->second, MinRatio, MaxRatio);
-  double Smoothing = Ms > Baseline->second
-                         ? Table.Settings.BaselineRiseSmoothing
-                         : Table.Settings.BaselineFallSmoothing;
-  Baseline->second += Smoothing * (Ms - Baseline->second);
+  latency_baseline &Baseline = Found->second;
+  double Ratio =
+      Baseline.Samples == 0 ? 1.0 : std::min(MaxRatio, Ms / Baseline.Ms);
+  ++Baseline.Samples;
+  double Smoothing =
+      std::max(Table.Settings.BaselineSmoothing, 1.0 / Baseline.Samples);
+  Baseline.Ms += Smoothing * (Ms - Baseline.Ms);
   View.LatencyRatio = latencyRatioAt(Table.Settings, View, Now);
   View.LatencyMeasuredAt = Now;
   View.LatencyRatio +=
--- a/src/routing/upstreams.h
+++ b/src/routing/upstreams.h
@@ -60,7 +60,7 @@
   /// requests; a later one does.
   incarnation Leaving;
   /// Moving average of the ratio of this upstream's latency to the baseline of
-  /// the same kind of request, both as measured by this node; at least 1.
+  /// the same kind of request, both as measured by this node.
   double LatencyRatio = 1.0;
   /// Whether it has answered. The first answer takes the time of opening
   /// connections as well, and is not measured.
@@ -89,12 +89,10 @@
   /// below this fraction of that of the local choice, because traffic between
   /// zones is expensive.
   double SpilloverCostFactor = 0.8;
-  /// Weight of a new sample in the moving average LatencyRatio.
+  /// Weights of a new sample in the moving averages LatencyRatio and of a
+  /// baseline. The first samples of a baseline count equally.
   double LatencyRatioSmoothing = 0.1;
-  /// Weights of a new sample in BaselineMs if it is higher, and if it is lower.
-  /// The baseline keeps to the faster answers, so that hardly any is below it.
-  double BaselineRiseSmoothing = 0.02;
-  double BaselineFallSmoothing = 0.1;
+  double BaselineSmoothing = 0.02;
   /// Costs that differ by less than this fraction are taken to be equal, and
   /// the load decides.
   double EqualCostFraction = 0.1;
@@ -107,13 +105,18 @@
   double MinHealthyFraction = 0.5;
 };
 
+/// Usual latency of a kind of request.
+struct latency_baseline {
+  /// Moving average in milliseconds.
+  double Ms = 0.0;
+  unsigned Samples = 0;
+};
+
 /// The upstreams that this node calls.
 struct upstream_table {
   routing_settings Settings;
-  /// Latency in milliseconds of the faster answers of all upstreams, by kind of
-  /// request. Upstreams that were not measured are taken to be as fast, so that
-  /// they are tried.
-  configuration::text_map<double> BaselineMs;
+  /// Over all upstreams, by kind of request.
+  configuration::text_map<latency_baseline> Baselines;
   /// By the upstream's address.
   configuration::text_map<upstream_view> Views;
 };
