A connection that reads without waiting lets others run

A node short of processor time took in more requests than it could end, instead of ending those it had.

Change: only a connection that reads 256 KiB without waiting, into a body or into nothing, waits for one turn of the loop. UploadsWithoutEndKeepNobodyWaiting passes with it, as it did with the polls.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -27,6 +27,8 @@
 constexpr kj::Duration MinIdleTime = 100 * kj::MILLISECONDS;
 /// Memory that is kept free for requests to come.
 constexpr std::size_t KeptFreeBytes = std::size_t{4} << 20U;
+/// Bytes that a connection reads before others have their turn.
+constexpr std::size_t ReadBytesPerTurn = std::size_t{256} << 10U;
 /// Number of names in a record of an end.
 constexpr std::size_t MaxOwedNames = 8;
 constexpr std::string_view ContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -222,6 +224,9 @@
         Unparsed = {ReadBuffer.data(), BytesRead};
         parseInput();
         noteReadProgress();
+        if (hasUsedTurn(BytesRead)) {
+          co_await letOthersRun();
+        }
       }
     }
     co_await discardInput();
@@ -236,6 +241,20 @@
     }
   }
 
+  /// Counts \p Bytes that were read. Returns true after ReadBytesPerTurn: the
+  /// reader then waits for letOthersRun().
+  bool hasUsedTurn(std::size_t Bytes) {
+    BytesInTurn += Bytes;
+    bool IsUsed = BytesInTurn >= ReadBytesPerTurn;
+    BytesInTurn = IsUsed ? 0 : BytesInTurn;
+    return IsUsed;
+  }
+  /// The event loop looks for other input and timers only when no event is
+  /// ready, and the next bytes of a fast sender always are.
+  kj::Promise<void> letOthersRun() {
+    return Server.Timer.afterDelay(0 * kj::SECONDS);
+  }
+
   /// Reads and discards input until the client closes the connection.
   task<void> discardInput() {
     std::array<char, HeadBufferBytes> Buffer;
@@ -248,6 +267,9 @@
       } catch (const kj::Exception &) {
         BytesRead = 0;
       }
+      if (hasUsedTurn(BytesRead)) {
+        co_await letOthersRun();
+      }
     }
   }
 
@@ -424,6 +446,8 @@
   message_parser Parser;
   framework::memory_charge Charge;
   std::vector<char> ReadBuffer;
+  /// Bytes read since the event loop last had a turn.
+  std::size_t BytesInTurn = 0;
   /// Input in ReadBuffer that was not parsed yet.
   std::string_view Unparsed;
   /// When the request that was begun last began.
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -25,9 +25,6 @@
 constexpr milliseconds TickInterval{20};
 /// Time to write out the last responses before the process exits.
 constexpr milliseconds ResponseFlushTime{100};
-/// Events after which new input and timers are looked for, even while further
-/// events are ready, as they are without end beside a fast sender.
-constexpr unsigned MaxEventsBetweenPolls = 32;
 constexpr int FailureExitCode = 1;
 /// Connections to the port that the platform probes.
 constexpr std::size_t MaxReadyConnections = 32;
@@ -368,7 +365,6 @@
   kj::UnixEventPort::captureSignal(SIGHUP);
   framework::kj_log_router KjLog;
   kj::AsyncIoContext Io = kj::setupAsyncIo();
-  Io.waitScope.setBusyPollInterval(MaxEventsBetweenPolls);
   try {
     node_parts Parts(Settings, Deployment, Io);
     Parts.Node.OnPause = [&Parts](milliseconds PauseLength) {
