Requests with a byte in a header name that isn't allowed there are malformed

Cause: http_parser takes blanks as part of a name and matches it without them, so the node decoded the chunks, but knew no such hop-by-hop header and passed the line on. The upstream believed the line.

Change: a character in the name of a header line or trailer of a request that isn't a token's ends it as malformed (400), whatever the name; so does a blank or a control character in the target. In responses, blanks before a colon are removed, as RFC 9112, 5.1 asks of a proxy.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -25,6 +25,25 @@
 /// other nodes and the text for the backend server.
 constexpr std::size_t HeadCopies = 8;
 
+bool isAlphanumeric(char C) {
+  return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
+         (C >= 'A' && C <= 'Z');
+}
+
+/// Whether \p C may be part of a header name (RFC 9110, 5.6.2).
+bool isTokenCharacter(char C) {
+  constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return isAlphanumeric(C) || Others.find(C) != std::string_view::npos;
+}
+
+/// Whether \p C ends the target, or the request line, for some recipients.
+bool isBlankOrControl(char C) {
+  constexpr unsigned char LastControl = 0x20;
+  constexpr unsigned char Delete = 0x7f;
+  auto Byte = static_cast<unsigned char>(C);
+  return Byte <= LastControl || Byte == Delete;
+}
+
 } // namespace
 
 std::size_t chargeOfRun(std::size_t HeadBytes) {
@@ -85,8 +104,15 @@
   return !IsInBody || BodyCharge.growTo(ExpectedBytes);
 }
 
+void message_parser::trimHeaderName() {
+  while (!HeaderText.empty() && HeaderText.back() == ' ') {
+    HeaderText.pop_back();
+  }
+}
+
 void message_parser::endHeaderLine() {
   if (!AreHeadersComplete && Part == header_part::Name) {
+    trimHeaderName();
     HeaderText += Separator;
   }
   if (!AreHeadersComplete && Part != header_part::None) {
@@ -104,6 +130,10 @@
 int message_parser::onTarget(http_parser *Parser, const char *At,
                              std::size_t Length) {
   message_parser &Self = self(Parser);
+  if (std::any_of(At, At + Length, isBlankOrControl)) {
+    Self.Failure = parse_state::Malformed;
+    return StopParsing;
+  }
   Self.Target.append(At, Length);
   return Self.countHeaderBytes(Length) ? 0 : StopParsing;
 }
@@ -111,6 +141,11 @@
 int message_parser::onHeaderName(http_parser *Parser, const char *At,
                                  std::size_t Length) {
   message_parser &Self = self(Parser);
+  if (Self.Kind == kind::Requests &&
+      !std::all_of(At, At + Length, isTokenCharacter)) {
+    Self.Failure = parse_state::Malformed;
+    return StopParsing;
+  }
   std::size_t Counted = Length;
   if (Self.Part != header_part::Name) {
     Counted += MinLineBytes;
@@ -129,6 +164,7 @@
   message_parser &Self = self(Parser);
   if (!Self.AreHeadersComplete) {
     if (Self.Part == header_part::Name) {
+      Self.trimHeaderName();
       Self.HeaderText += Separator;
     }
     Self.HeaderText.append(At, Length);
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -1,6 +1,12 @@
 /// \file
 /// Incremental parsing of HTTP/1.1 messages with the http_parser library. One
 /// parser object parses the successive messages of one connection.
+///
+/// The library takes some bytes that other recipients read differently, by
+/// which a request could be hidden inside another one. Requests with a byte in
+/// a header name that is not allowed there, such as a blank before the colon,
+/// or with a blank or control character in the target are malformed (RFC
+/// 9112, 3.2 and 5.1). In responses, blanks before a colon are removed.
 #pragma once
 
 #include "framework/memoryaccount.h"
@@ -99,6 +105,8 @@
   static int onMessageComplete(http_parser *Parser);
   static message_parser &self(http_parser *Parser);
 
+  /// Takes the name of the header line off the blanks between it and its colon.
+  void trimHeaderName();
   /// Returns false if a limit is exceeded.
   bool countHeaderBytes(std::size_t Length);
   /// Ends the header line that has begun, if there is one.
--- a/src/http/tests/parser_tests.cpp
+++ b/src/http/tests/parser_tests.cpp
@@ -93,6 +93,78 @@
   CHECK(Parser.finish() == parse_state::Malformed);
 }
 
+// Guards against a request that is hidden inside another one, since another
+// recipient reads a byte differently (UNASKED).
+TEST(Parser, RequestsThatOthersMayReadDifferentlyAreMalformed) {
+  const std::string Body = "\r\n5\r\nabcde\r\n0\r\n\r\n";
+  const std::string Start = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  for (const char *Name :
+       {"Transfer-Encoding", "Content-Length", "Caller-Service",
+        "Expected-Instance", "Attempt-Id", "X-Other"}) {
+    for (const char *Blank : {" ", "  ", "\t", " \t", "\x01", "\x7f", "("}) {
+      message_parser Parser(Requests, {});
+      std::string Line = std::string(Name) + Blank + ": 5\r\n";
+      CHECK(feedAll(Parser, Start + Line + Body) == parse_state::Malformed);
+    }
+  }
+  for (const char *Line :
+       {"Transfer-Encoding : chunked", "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Content-Length: 5\r\nContent-Length: 6", "Content-Length: 5, 6",
+        "Content-Length: +5", "Content-Length: -5", "Content-Length: 0x5",
+        "Content-Length: 5 6", "Content-Length: 99999999999999999999",
+        ": chunked", "X-Other: a\rTransfer-Encoding: chunked",
+        "X-Other: a\x01"}) {
+    message_parser Parser(Requests, {});
+    CHECK(feedAll(Parser, Start + Line + "\r\n" + Body) ==
+          parse_state::Malformed);
+  }
+  for (const char *Target : {"/a\tb", "/a\x0c", "/a\x7f", "/a\x01"}) {
+    message_parser Parser(Requests, {});
+    std::string Line = "GET " + std::string(Target) + " HTTP/1.1\r\n\r\n";
+    CHECK(feedAll(Parser, Line) == parse_state::Malformed);
+  }
+}
+
+// A folded line is passed on as one line.
+TEST(Parser, FoldedLineIsPartOfTheValueBeforeIt) {
+  message_parser Parser(Requests, {});
+  CHECK(feedAll(Parser, "GET /a HTTP/1.1\r\nX-Name: v\r\n"
+                        " Transfer-Encoding: chunked\r\n\r\n") ==
+        parse_state::Complete);
+  request Request = Parser.takeRequest();
+  LONGS_EQUAL(1, Request.Headers.size());
+  CHECK(findHeader(Request.Headers, "X-Name") ==
+        "v Transfer-Encoding: chunked");
+}
+
+TEST(Parser, BlankBeforeAColonIsMalformedInEachPart) {
+  const std::string Bytes = "GET /a HTTP/1.1\r\nX-Name : v\r\n\r\n";
+  message_parser Parser(Requests, {});
+  parse_state State = parse_state::Incomplete;
+  for (char Byte : Bytes) {
+    State = feedAll(Parser, {&Byte, 1});
+    if (State != parse_state::Incomplete) {
+      break;
+    }
+  }
+  CHECK(State == parse_state::Malformed);
+  message_parser Trailers(Requests, {});
+  CHECK(feedAll(Trailers,
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "0\r\nX-Later : 1\r\n\r\n") == parse_state::Malformed);
+}
+
+TEST(Parser, BlankBeforeAColonIsRemovedFromResponses) {
+  message_parser Parser(Responses, {});
+  CHECK(feedAll(Parser, "HTTP/1.1 200 OK\r\nX-Name  : v\r\nX-Empty :\r\n"
+                        "Content-Length: 0\r\n\r\n") == parse_state::Complete);
+  response Response = Parser.takeResponse();
+  CHECK(findHeader(Response.Headers, "X-Name") == "v");
+  CHECK(findHeader(Response.Headers, "X-Empty") == "");
+}
+
 TEST(Parser, BytesThatAreNotHttpAreMalformed) {
   message_parser Parser(Responses, {});
   CHECK(feedAll(Parser, "garbage\r\n\r\n") == parse_state::Malformed);
