A removal that was known outlives a return of the store

Causes: a removal left no incarnation to compare the copy's entry with, only a leaving did. An entry without a start time counted as another incarnation.

Change: a removal is kept with the incarnation that it ended. An entry of a later era with that incarnation isn't used before it has been written a second time in that era: what is only in the copy is not, a server whose entry had expired is at its next renewal. Within one era nothing changes. An entry without a start time keeps the one in force.

Tests: InstanceThatWasRemovedStaysOutWhileOnlyTheCopyListsIt and EntryWithoutAStartKeepsTheIncarnation failed before; three more hold what must not change.

--- a/src/configuration/store.cpp
+++ b/src/configuration/store.cpp
@@ -93,6 +93,14 @@
   return Routes.Version < InForce ? content_order::Older : content_order::Newer;
 }
 
+/// Whether the instance behind \p Entry has written it since the platform's
+/// return. An entry of the copy keeps its revision.
+bool wasRenewed(const left_incarnation &Left, const published_entry &Entry) {
+  return Left.WasRemoved && Left.SeenRevision != 0 &&
+         eraOf(Left.SeenRevision) == eraOf(Entry.Revision) &&
+         Left.SeenRevision < Entry.Revision;
+}
+
 content_order compareInstances(const store &Store, const published_entry &Entry,
                                const instance &Instance) {
   bool IsLeaving = Instance.State == instance_state::Leaving;
@@ -100,7 +108,8 @@
   bool HasLeft = Instance.StartedMs != 0 && !IsLeaving &&
                  Left != Store.LeftInstances.end() &&
                  Instance.StartedMs <= Left->second.StartedMs &&
-                 eraOf(Left->second.Revision) < eraOf(Entry.Revision);
+                 eraOf(Left->second.Revision) < eraOf(Entry.Revision) &&
+                 !wasRenewed(Left->second, Entry);
   if (HasLeft) {
     return content_order::Older;
   }
@@ -150,10 +159,47 @@
   return IsNewer ? apply_result::Accepted : apply_result::NotNewer;
 }
 
-void recordLeaving(store &Store, const published_entry &Entry) {
+/// Records what an accepted \p Entry, which is in the catalog, says of leaving.
+void recordListed(store &Store, const published_entry &Entry) {
   const instance *Instance = findInstance(Store.Catalog, Entry.Key);
-  if (Instance != nullptr && Instance->State == instance_state::Leaving) {
+  if (Instance == nullptr) {
+    return;
+  }
+  if (Instance->State == instance_state::Leaving) {
     Store.LeftInstances[Entry.Key] = {Instance->StartedMs, Entry.Revision};
+    return;
+  }
+  auto Left = Store.LeftInstances.find(Entry.Key);
+  if (Left != Store.LeftInstances.end() && Left->second.WasRemoved) {
+    Store.LeftInstances.erase(Left);
+  }
+}
+
+/// Records the removal by \p Entry of the instance that is in the catalog.
+void recordRemoval(store &Store, const published_entry &Entry) {
+  const instance *Instance = findInstance(Store.Catalog, Entry.Key);
+  if (Instance != nullptr && Instance->State == instance_state::Live) {
+    Store.LeftInstances[Entry.Key] = {Instance->StartedMs, Entry.Revision,
+                                      true};
+  }
+}
+
+/// Records that \p Entry, of an instance that had left, was not applied.
+void recordSeen(store &Store, const published_entry &Entry) {
+  auto Left = Store.LeftInstances.find(Entry.Key);
+  if (Left != Store.LeftInstances.end() &&
+      eraOf(Left->second.SeenRevision) < eraOf(Entry.Revision)) {
+    Left->second.SeenRevision = Entry.Revision;
+  }
+}
+
+/// An entry without a start time says nothing of a restart: the instance in
+/// force keeps its own, and with it what is known of that incarnation.
+void keepKnownStart(const store &Store, const published_entry &Entry,
+                    instance &Instance) {
+  const instance *InForce = findInstance(Store.Catalog, Entry.Key);
+  if (Instance.StartedMs == 0 && InForce != nullptr) {
+    Instance.StartedMs = InForce->StartedMs;
   }
 }
 
@@ -185,6 +231,9 @@
   }
   if (Stored != Store.Newest.end()) {
     apply_result Order = compareToStored(Store, Stored->second.Revision, Entry);
+    if (Order == apply_result::Outdated) {
+      recordSeen(Store, Entry);
+    }
     if (Order != apply_result::Accepted) {
       ++Store.NotNewerCount;
       return Order;
@@ -198,6 +247,7 @@
   Store.Newest[Entry.Key] = Entry;
   Store.KeysByRevision.emplace(Entry.Revision, Entry.Key);
   if (Entry.Value.empty()) {
+    recordRemoval(Store, Entry);
     removeValue(Store.Catalog, Entry.Key);
     ++Store.Catalog.Version;
     Store.Refused.erase(Entry.Key);
@@ -209,8 +259,11 @@
     Store.Refused[Entry.Key] = {Entry.Revision, std::move(Checked.Findings)};
     return apply_result::Refused;
   }
+  if (auto *Instance = std::get_if<instance>(&Checked.Value)) {
+    keepKnownStart(Store, Entry, *Instance);
+  }
   std::visit(value_inserter{Store.Catalog}, Checked.Value);
-  recordLeaving(Store, Entry);
+  recordListed(Store, Entry);
   ++Store.Catalog.Version;
   Store.Refused.erase(Entry.Key);
   Store.AcceptedRevisions[Entry.Key] = Entry.Revision;
--- a/src/configuration/store.h
+++ b/src/configuration/store.h
@@ -2,10 +2,11 @@
 /// The node's copy of the published configuration. An entry is replaced only by
 /// one with a higher revision. Across a return of the platform from an older
 /// copy (see configuration/revision.h), what the lost part had put in force
-/// holds: neither an older route table nor an instance whose leaving was known
-/// comes back, though its revision is of a newer era. An entry whose value
-/// fails validation is stored and passed on to other nodes, but the last
-/// accepted value stays in force.
+/// holds: neither an older route table nor an instance whose leaving or removal
+/// was known comes back, though its revision is of a newer era. One whose entry
+/// had expired is told from one that is gone by its next renewal. An entry
+/// whose value fails validation is stored and passed on to other nodes, but the
+/// last accepted value stays in force.
 ///
 /// The copies of two nodes are compared by their digests. Keys are hashed into
 /// buckets, and the digest of a bucket is the exclusive or of a hash of each
@@ -55,10 +56,15 @@
   framework::findings Findings;
 };
 
-/// An incarnation of an instance that was listed as leaving.
+/// An incarnation of an instance that was listed as leaving, or was removed.
 struct left_incarnation {
   std::uint64_t StartedMs = 0;
   std::uint64_t Revision = 0;
+  /// It was removed and had not been listed as leaving. Its entry may have
+  /// expired while it ran; if so, it renews its entry after a return.
+  bool WasRemoved = false;
+  /// Revision of the entry by which a later era listed it first; 0 for none.
+  std::uint64_t SeenRevision = 0;
 };
 
 struct store {
@@ -73,7 +79,8 @@
   std::set<std::pair<std::uint64_t, std::string>> KeysByRevision;
   /// Digest of each bucket.
   digest_buckets Digests{};
-  /// The newest incarnation of each instance that was seen leaving, by key.
+  /// The newest incarnation of each instance that was seen leaving or was
+  /// removed, by key.
   text_map<left_incarnation> LeftInstances;
   /// Revision of the newest complete listing of the instances. An instance that
   /// it lacked and whose entry is older has been removed.
--- a/src/configuration/tests/returns_tests.cpp
+++ b/src/configuration/tests/returns_tests.cpp
@@ -98,6 +98,60 @@
   CHECK(isLive(Store));
 }
 
+// Guards against a server whose removal was known and that gets requests again,
+// since the copy still lists it (DRAIN).
+TEST(Returns, InstanceThatWasRemovedStaysOutWhileOnlyTheCopyListsIt) {
+  applyEntry(Store, instanceOf(makeRevision(1, 90), "live", 5));
+  applyEntry(Store, {InstanceKey, makeRevision(1, 100), ""});
+  for (int I = 0; I < 3; ++I) {
+    CHECK(applyEntry(Store, instanceOf(makeRevision(2, 90), "live", 5)) ==
+          apply_result::Outdated);
+    CHECK_FALSE(isLive(Store));
+  }
+}
+
+// Guards against a server that runs, whose entry had expired before the return,
+// and that is never used again.
+TEST(Returns, InstanceThatWasRemovedIsUsedAgainOnceItRenewsItsEntry) {
+  applyEntry(Store, instanceOf(makeRevision(1, 90), "live", 5));
+  applyEntry(Store, {InstanceKey, makeRevision(1, 100), ""});
+  applyEntry(Store, instanceOf(makeRevision(2, 90), "live", 5));
+  CHECK(applyEntry(Store, instanceOf(makeRevision(2, 93), "live", 5)) ==
+        apply_result::Accepted);
+  CHECK(isLive(Store));
+  CHECK(applyEntry(Store, instanceOf(makeRevision(3, 91), "live", 5)) ==
+        apply_result::Accepted);
+  CHECK(isLive(Store));
+}
+
+TEST(Returns, InstanceThatExpiredAndIsBackInTheSameEraIsUsed) {
+  applyEntry(Store, instanceOf(makeRevision(1, 90), "live", 5));
+  applyEntry(Store, {InstanceKey, makeRevision(1, 100), ""});
+  CHECK(applyEntry(Store, instanceOf(makeRevision(1, 101), "live", 5)) ==
+        apply_result::Accepted);
+  CHECK(isLive(Store));
+}
+
+TEST(Returns, LaterIncarnationOfARemovedInstanceIsUsedAtOnce) {
+  applyEntry(Store, instanceOf(makeRevision(1, 90), "live", 5));
+  applyEntry(Store, {InstanceKey, makeRevision(1, 100), ""});
+  CHECK(applyEntry(Store, instanceOf(makeRevision(2, 91), "live", 6)) ==
+        apply_result::Accepted);
+  CHECK(isLive(Store));
+}
+
+// Guards against an entry of another writer without a start time, by which a
+// server that has said that it leaves counts as another one (DRAIN).
+TEST(Returns, EntryWithoutAStartKeepsTheIncarnation) {
+  applyEntry(Store, instanceOf(90, "live", 5));
+  applyEntry(Store, {InstanceKey, 91,
+                     R"({"zone":"z","address":"10.0.0.1:1","state":"live"})"});
+  LONGS_EQUAL(5, findInstance(Store.Catalog, InstanceKey)->StartedMs);
+  CHECK(isLive(Store));
+  applyEntry(Store, instanceOf(92, "live", 6));
+  LONGS_EQUAL(6, findInstance(Store.Catalog, InstanceKey)->StartedMs);
+}
+
 TEST(Returns, NodeThatReadTheCopyFirstLearnsOfTheLeavingFromAPeer) {
   applyEntry(Store, instanceOf(makeRevision(2, 90), "live", 5));
   CHECK(applyEntry(Store, instanceOf(makeRevision(1, 100), "leaving", 5)) ==
