Answers are written until shortly before the end of the grace period

Cause: a stopping node waited for its connections until 900 ms before the end, to leave time for a call to the platform that has just started to connect, and then exited.

Change: at that time only requests without an answer are ended, and the node stops reading the platform. Answers are written for 600 ms more; 300 ms (ExitMargin) are left to exit.

Test: AnswersAreWrittenUntilShortBeforeTheEndOfTheGracePeriod failed before.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -247,9 +247,12 @@
 /// Time after RouteLameDuck for which requests that were already in transit are
 /// served. Later ones are refused, since they could outlast the grace period.
 constexpr milliseconds TransitTime{500};
-/// Time before the end of the grace period at which the last connections are
-/// closed. It covers a call to the platform that has just started to connect.
+/// Time before the end of the grace period at which requests without an answer
+/// are ended, so that their callers can take that answer.
 constexpr milliseconds CloseMargin{900};
+/// Time before the end of the grace period up to which answers are written. The
+/// process needs it to exit.
+constexpr milliseconds ExitMargin{300};
 
 task<void> sleepUntil(node_runtime &Node, framework::monotonic_time Time) {
   co_await Node.Timer.afterDelay(toDuration(Time - readClocks().Monotonic));
@@ -293,6 +296,9 @@
   Parts.Admin.stop();
   co_await awaitConnectionsClosed(Parts, End);
   Parts.Gateway->endUnfinished();
+  // A call that has just started to connect would delay the exit.
+  Parts.Dissemination.stopReading();
+  co_await awaitConnectionsClosed(Parts, End + CloseMargin - ExitMargin);
 }
 
 /// Stops accepting requests and waits for those in flight.
--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -518,8 +518,8 @@
   bool Starting =
       !Node.Condition.Ready &&
       (Node.Settings.Seeds.empty() || Now.Monotonic - StartTime > PeerOnlyTime);
-  bool ShouldRead =
-      Starting || (Node.Condition.Ready && Chosen) || UpdateOverdue;
+  bool ShouldRead = MayRead && (Starting || (Node.Condition.Ready && Chosen) ||
+                                UpdateOverdue);
   if (ShouldRead != Reading) {
     Reading = ShouldRead;
     std::uint64_t Highest = configuration::highestRevision(Node.Store);
@@ -533,6 +533,14 @@
   }
 }
 
+void disseminator::stopReading() {
+  MayRead = false;
+  Reading = false;
+  if (Reader != nullptr) {
+    Reader->setActive(false, 0);
+  }
+}
+
 void disseminator::resumeAfterPause(framework::time_now Now) {
   Node.Condition.ViewStale = true;
   // The clock may not have counted the pause.
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -88,6 +88,9 @@
   /// Marks the configuration as stale until a peer or the platform answers.
   void resumeAfterPause(framework::time_now Now);
 
+  /// Reads the platform no more. A read in progress goes on.
+  void stopReading();
+
   bool isReading() const { return Reading; }
   /// Whether this node reads the platform and was answered the last time.
   bool readsSuccessfully() const { return Reading && LastReadSucceeded; }
@@ -178,6 +181,8 @@
   /// start; see platform_source.
   bool Linearizable = false;
   bool Reading = false;
+  /// Set when this node stops.
+  bool MayRead = true;
   bool PlatformAnswered = false;
   /// Whether the platform answered the last read.
   bool LastReadSucceeded = false;
