A long message to another node is charged until it is written

Cause: the charge for a message belonged to its call, which ends when the client leaves. The message stays queued in the connection.

Change: the charge goes to the connection, which ends it when the stream has written the message, or with the connection.

--- a/src/node/dispatch.cpp
+++ b/src/node/dispatch.cpp
@@ -364,6 +364,9 @@
     std::uint64_t Attempt = NextAttempt++;
     writeRequest(Message.initRequest(), Request, Attempt,
                  readClocks().Monotonic);
+    if (Charge.bytes() > 0) {
+      (*Connection)->UnwrittenMessages.push_back(std::move(Charge));
+    }
     auto Called = co_await Peers.call(
         kj::mv(*Connection), kj::mv(Message), Request.Deadline,
         isRepeatable(Request) ? silence_policy::Fail : silence_policy::Wait);
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -16,6 +16,14 @@
 
 } // namespace
 
+void recordWritten(peer_connection &Connection, std::size_t Bytes) {
+  bool IsCharged = !Connection.UnwrittenMessages.empty() &&
+                   Bytes >= Connection.UnwrittenMessages.front().bytes();
+  if (IsCharged) {
+    Connection.UnwrittenMessages.pop_front();
+  }
+}
+
 peer_pool::peer_pool(node_runtime &Node) : Node(Node) {
   Node.Tasks.add(monitorLoop());
 }
@@ -61,9 +69,12 @@
   Connection->Address = Address;
   std::optional<bool> LocalZone = isInLocalZone(Address);
   Connection->ZoneKnown = LocalZone.has_value();
+  peer_connection &Added = *Connection;
   Connection->Stream = wrapPeerStream(
-      kj::mv(Stream), LocalZone.value_or(false) ? stream_coding::Plain
-                                                : stream_coding::Compressed);
+      kj::mv(Stream),
+      LocalZone.value_or(false) ? stream_coding::Plain
+                                : stream_coding::Compressed,
+      [&Added](std::size_t Bytes) { recordWritten(Added, Bytes); });
   Connection->Rpc = kj::heap<capnp::TwoPartyClient>(*Connection->Stream);
   Connection->Client = Connection->Rpc->bootstrap().castAs<rpc::Node>();
   auto Abort = kj::newPromiseAndFulfiller<void>();
@@ -71,7 +82,6 @@
   Connection->AbortPromise = Abort.promise.fork();
   Connection->LastHeard = readClocks().Monotonic;
   Connection->LastUsed = Connection->LastHeard;
-  peer_connection &Added = *Connection;
   Connection->DisconnectHandler = Connection->Rpc->onDisconnect()
                                       .then([this, &Added]() { abort(Added); })
                                       .eagerlyEvaluate([](kj::Exception &&) {});
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -9,11 +9,13 @@
 /// they are closed after IdleTimeout.
 #pragma once
 
+#include "framework/memoryaccount.h"
 #include "node/runtime.h"
 #include "rpc/node.capnp.h"
 
 #include <capnp/rpc-twoparty.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +37,9 @@
 /// A connection to another node.
 struct peer_connection : public kj::Refcounted {
   std::string Address;
+  /// Charges for long messages that are queued, in the order in which they are
+  /// written. A message stays queued when its call has ended.
+  std::deque<framework::memory_charge> UnwrittenMessages;
   kj::Own<kj::AsyncIoStream> Stream;
   kj::Own<capnp::TwoPartyClient> Rpc;
   kj::Maybe<rpc::Node::Client> Client;
@@ -85,6 +90,11 @@
   Wait,
 };
 
+/// Ends the charge for the first unwritten message of \p Connection, if it is
+/// the one of \p Bytes bytes that was written. Other long messages have no
+/// charge.
+void recordWritten(peer_connection &Connection, std::size_t Bytes);
+
 using connection_result = call_result<kj::Own<peer_connection>>;
 
 class peer_pool {
--- a/src/node/peerstream.cpp
+++ b/src/node/peerstream.cpp
@@ -1,6 +1,7 @@
 #include "node/peerstream.h"
 
 #include "framework/coroutine.h"
+#include "framework/memoryaccount.h"
 
 #include <kj/debug.h>
 #include <zlib.h>
@@ -81,8 +82,9 @@
 
 class peer_stream final : public kj::AsyncIoStream {
 public:
-  peer_stream(kj::Own<kj::AsyncIoStream> Stream, stream_coding Coding)
-      : Inner(kj::mv(Stream)), Coding(Coding) {
+  peer_stream(kj::Own<kj::AsyncIoStream> Stream, stream_coding Coding,
+              written_handler OnWritten)
+      : Inner(kj::mv(Stream)), Coding(Coding), OnWritten(std::move(OnWritten)) {
     if (Coding == stream_coding::Compressed) {
       Codec = kj::heap<codec>();
     }
@@ -109,13 +111,29 @@
 
   kj::Promise<void>
   write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> Pieces) override {
-    if (Coding != stream_coding::Compressed) {
-      return Inner->write(Pieces);
-    }
     std::size_t Size = 0;
     for (kj::ArrayPtr<const kj::byte> Piece : Pieces) {
       Size += Piece.size();
     }
+    if (!OnWritten || Size <= framework::MaxShortBytes) {
+      return writePieces(Pieces, Size);
+    }
+    return writePieces(Pieces, Size).then([this, Size]() { OnWritten(Size); });
+  }
+
+  kj::Promise<void> whenWriteDisconnected() override {
+    return Inner->whenWriteDisconnected();
+  }
+  void shutdownWrite() override { Inner->shutdownWrite(); }
+  void abortRead() override { Inner->abortRead(); }
+
+private:
+  kj::Promise<void>
+  writePieces(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> Pieces,
+              std::size_t Size) {
+    if (Coding != stream_coding::Compressed) {
+      return Inner->write(Pieces);
+    }
     if (Size > MaxJoinedBytes) {
       return writeSlices(Pieces);
     }
@@ -128,13 +146,6 @@
     return write(Joined.data(), Joined.size());
   }
 
-  kj::Promise<void> whenWriteDisconnected() override {
-    return Inner->whenWriteDisconnected();
-  }
-  void shutdownWrite() override { Inner->shutdownWrite(); }
-  void abortRead() override { Inner->abortRead(); }
-
-private:
   /// Compresses and writes a long message slice by slice, so that it isn't held
   /// a second time.
   task<void>
@@ -206,6 +217,7 @@
 
   kj::Own<kj::AsyncIoStream> Inner;
   stream_coding Coding;
+  written_handler OnWritten;
   kj::Own<codec> Codec;
   /// Input buffer, so that one read of Inner serves both reads that Cap'n Proto
   /// makes per message.
@@ -233,8 +245,9 @@
 } // namespace
 
 kj::Own<kj::AsyncIoStream> wrapPeerStream(kj::Own<kj::AsyncIoStream> Inner,
-                                          stream_coding Coding) {
-  return kj::heap<peer_stream>(kj::mv(Inner), Coding);
+                                          stream_coding Coding,
+                                          written_handler OnWritten) {
+  return kj::heap<peer_stream>(kj::mv(Inner), Coding, std::move(OnWritten));
 }
 
 kj::Own<kj::ConnectionReceiver>
--- a/src/node/peerstream.h
+++ b/src/node/peerstream.h
@@ -10,7 +10,9 @@
 #include <kj/async-io.h>
 #include <kj/common.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 
 namespace figplank::node {
 
@@ -21,10 +23,15 @@
   Detect,
 };
 
+/// Called with the length of a message when the whole of it was written.
+using written_handler = std::function<void(std::size_t Bytes)>;
+
 /// Wraps \p Inner. A stream that ends inside compressed data, or whose
-/// compressed data is malformed, fails with kj::Exception.
+/// compressed data is malformed, fails with kj::Exception. \p OnWritten is
+/// called for messages longer than framework::MaxShortBytes; it may be empty.
 kj::Own<kj::AsyncIoStream> wrapPeerStream(kj::Own<kj::AsyncIoStream> Inner,
-                                          stream_coding Coding);
+                                          stream_coding Coding,
+                                          written_handler OnWritten = {});
 
 /// Wraps each stream that \p Inner accepts and detects its coding.
 kj::Own<kj::ConnectionReceiver>
