What holds removals back has a file of its own

The presence of the platform and the removals held back move to node/removalhold, unchanged; the disseminator applies what is released.

--- a/src/node/dissemination.cpp
+++ b/src/node/dissemination.cpp
@@ -68,10 +68,9 @@
 
 disseminator::disseminator(node_runtime &Node, peer_pool &Peers,
                            mailbox &Mailbox, platform_source Source)
-    : Node(Node), Peers(Peers), Duty(Node, Peers),
+    : Node(Node), Peers(Peers), Hold(Node, Source.Expiry), Duty(Node, Peers),
       StartTime(readClocks().Monotonic), LastUpdate(StartTime) {
   Linearizable = Source.Linearizable;
-  Expiry = Source.Expiry;
   if (Source.Read) {
     Reader = std::make_unique<platform_reader>(
         std::move(Source), [this, &Mailbox](platform_update Update) {
@@ -139,7 +138,7 @@
   logEvent(log_level::Info, "platform_era_changed",
            {{"era", Era}, {"before", KnownEra}});
   KnownEra = Era;
-  Presence.CopySeen = readClocks().Monotonic;
+  Hold.recordCopy(readClocks().Monotonic);
   dissemination_counters &Metrics = Node.Metrics.Dissemination;
   Metrics.EraChanges->Increment();
   Metrics.Era->Set(static_cast<double>(Era));
@@ -213,7 +212,7 @@
   Reply.Highest = configuration::highestRevision(Node.Store);
   Reply.Summary = configuration::summaryDigest(Node.Store);
   Reply.Ready = Node.Condition.Ready && !Node.Condition.ViewStale;
-  Reply.Presence = membership::reportPresence(Presence, readClocks().Monotonic);
+  Reply.Presence = Hold.report(readClocks().Monotonic);
   if (PeerDigest.HasBuckets) {
     Reply.Entries = configuration::entriesInDifferingBuckets(
         Node.Store, PeerDigest.Buckets, Settings.MaxExchangeBytes);
@@ -240,8 +239,7 @@
   KJ_IF_MAYBE (Response, Called.Value) {
     auto Report = readPresence(*Response);
     if (Report) {
-      membership::adoptReport(Expiry, Presence, *Report, AskedAt,
-                              readClocks().Monotonic);
+      Hold.adopt(*Report, AskedAt, readClocks().Monotonic);
     }
     std::vector<published_entry> NewEntries =
         apply(readEntries(Response->getEntries()));
@@ -396,44 +394,15 @@
   return Removed;
 }
 
-void disseminator::recordPlatformAnswer(const platform_update &Update) {
-  auto Before = Presence.Answering;
-  if (!membership::recordAnswer(Expiry, Presence, Update.ReadAt)) {
-    return;
-  }
-  Node.Metrics.Dissemination.PlatformReturns->Increment();
-  // Without an answer before, the time away is not known.
-  std::int64_t AwayMs =
-      Before ? framework::inMilliseconds(Update.ReadAt - Before->End) : -1;
-  logEvent(log_level::Info, "platform_returned", {{"away_ms", AwayMs}});
-}
-
-bool disseminator::holdIfLacking(std::vector<published_entry> &Entries,
-                                 std::uint64_t ListedAt) {
-  if (!membership::mayLackEntries(Expiry, Presence, readClocks().Monotonic)) {
-    return false;
-  }
-  std::size_t Before = Entries.size();
-  configuration::holdRemovals(Held, Entries, ListedAt);
-  dissemination_counters &Metrics = Node.Metrics.Dissemination;
-  Metrics.RemovalsHeld->Increment(static_cast<double>(Before - Entries.size()));
-  Metrics.HeldRemovals->Set(static_cast<double>(Held.Removals.size()));
-  return true;
-}
-
 void disseminator::releaseRemovals(monotonic_time Now) {
-  if (configuration::isEmpty(Held) ||
-      membership::mayLackEntries(Expiry, Presence, Now)) {
+  configuration::held_removals Due = Hold.takeDue(Now);
+  if (configuration::isEmpty(Due)) {
     return;
   }
-  configuration::held_removals Due = configuration::takeHeld(Held);
-  Node.Metrics.Dissemination.HeldRemovals->Set(0);
   std::vector<published_entry> Removals;
   for (auto &[Key, Removal] : Due.Removals) {
     Removals.push_back(std::move(Removal));
   }
-  logEvent(log_level::Info, "removals_released",
-           {{"count", static_cast<std::uint64_t>(Removals.size())}});
   std::vector<published_entry> NewEntries = apply(Removals);
   configuration::recordListing(Node.Store, Due.ListedAt);
   if (!NewEntries.empty()) {
@@ -444,9 +413,7 @@
 void disseminator::applyPlatformUpdate(platform_update Update) {
   Node.Metrics.Dissemination.PlatformCalls->Increment(Update.Calls);
   LastReadSucceeded = Update.Reached;
-  if (isPresent(Update)) {
-    recordPlatformAnswer(Update);
-  }
+  Hold.recordRead(Update);
   if (!Update.Reached) {
     auto Reason = static_cast<std::size_t>(Update.Failure);
     Node.Metrics.Dissemination.PlatformFailures[Reason]->Increment();
@@ -462,7 +429,7 @@
   Entries.insert(Entries.begin(),
                  std::make_move_iterator(Update.Entries.begin()),
                  std::make_move_iterator(Update.Entries.end()));
-  bool Holds = holdIfLacking(Entries, Update.ListedAt);
+  bool Holds = Hold.hold(Entries, Update.ListedAt, readClocks().Monotonic);
   std::vector<published_entry> NewEntries = apply(Entries);
   if (!Holds) {
     configuration::recordListing(Node.Store, Update.ListedAt);
@@ -543,8 +510,7 @@
 
 void disseminator::resumeAfterPause(framework::time_now Now) {
   Node.Condition.ViewStale = true;
-  // The clock may not have counted the pause.
-  Presence.Answering.reset();
+  Hold.forgetAnswers();
   execution::refuseIdsIssuedUntil(Node.Home, Now.Wall);
   routing::clearViews(Node.Upstreams);
   LastUpdate = Now.Monotonic;
--- a/src/node/dissemination.h
+++ b/src/node/dissemination.h
@@ -8,15 +8,15 @@
 /// the configuration in memory only.
 #pragma once
 
-#include "configuration/heldremovals.h"
-#include "membership/presence.h"
 #include "node/mailbox.h"
 #include "node/peers.h"
 #include "node/platformreader.h"
 #include "node/readerduty.h"
+#include "node/removalhold.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -156,11 +156,6 @@
   /// Notes the era of the platform's data, if it is a new one.
   void recordEra(std::uint64_t Era);
   void applyPlatformUpdate(platform_update Update);
-  void recordPlatformAnswer(const platform_update &Update);
-  /// Holds the removals of instances in \p Entries back while the platform may
-  /// lack instances that run. Returns whether it does so.
-  bool holdIfLacking(std::vector<configuration::published_entry> &Entries,
-                     std::uint64_t ListedAt);
   /// Applies the removals held back, once the platform lacks nothing.
   void releaseRemovals(framework::monotonic_time Now);
   /// Notes that a peer answered an exchange. \p PeerReady says whether the
@@ -189,9 +184,7 @@
   bool ReadyPeerAnswered = false;
   /// Era of the highest revision, see configuration/revision.h.
   std::uint64_t KnownEra = 0;
-  membership::entry_expiry Expiry;
-  membership::platform_presence Presence;
-  configuration::held_removals Held;
+  removal_hold Hold;
   std::size_t NextSeed = 0;
   membership::unresponsive_peers Unresponsive;
   std::size_t RunningExchanges = 0;
