A reset that the write of an upload meets fails the exchange

What callers saw: an upstream answered an upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The client got the part as a complete answer (MIXED).

Cause: exchange() dropped the failure of its write. The socket tells a reset once: the write that meets it takes the error, and the read after it returns 0 as at an orderly end, which completes a body without a length.

Ruled out: the parser (it sees an end, as at a sound answer); a reset that the read meets (its test, and that of a reset without an upload, passed before).

Why it works: the exchange keeps how its write ended, and once the read has returned 0 it lets the event loop run what is ready before it decides, so the order in which the two are told does not count. A write that still waits has met no reset: a sound early answer stays whole, and so does one with a length (tests).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -14,6 +14,8 @@
 /// fails, since a faulty server may send them without end.
 constexpr unsigned MaxInterimResponses = 16;
 
+enum class write_state : std::uint8_t { Running, Done, Failed };
+
 kj::ArrayPtr<const kj::byte> toBytes(const std::string &Text) {
   return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
 }
@@ -56,13 +58,16 @@
   std::string Head = formatRequestHead(Request);
   std::array<kj::ArrayPtr<const kj::byte>, 2> Pieces{
       toBytes(Head), toBytes(Request.Body.text())};
-  bool RequestWritten = false;
+  auto WriteState = write_state::Running;
   // The response is read while the request is being written, because a server
   // may respond before it has read the whole request.
   kj::Promise<void> Writing =
       Stream->write(kj::arrayPtr(Pieces.data(), Request.Body.empty() ? 1 : 2))
-          .then([&RequestWritten]() { RequestWritten = true; })
-          .eagerlyEvaluate([](kj::Exception &&) {});
+          .then([&WriteState]() { WriteState = write_state::Done; },
+                [&WriteState](kj::Exception &&) {
+                  WriteState = write_state::Failed;
+                })
+          .eagerlyEvaluate(nullptr);
   std::string Bytes;
   unsigned Discarded = 0;
   unsigned Interim = 0;
@@ -77,6 +82,14 @@
       }
       Result.AnyBytesRead |= IsOpen;
     }
+    if (!IsOpen) {
+      // A write that meets a reset takes the error from the socket, and the
+      // next read sees an orderly end. The write is told of it first.
+      co_await kj::evalLast([]() {});
+      if (WriteState == write_state::Failed) {
+        break;
+      }
+    }
     std::size_t Consumed = 0;
     parse_state State = IsOpen ? Parser.feed(Bytes, Consumed) : Parser.finish();
     Bytes.erase(0, Consumed);
@@ -97,7 +110,8 @@
       ++Discarded;
       continue;
     }
-    Usable = IsOpen && RequestWritten && Response.KeepAlive && Bytes.empty();
+    Usable = IsOpen && WriteState == write_state::Done && Response.KeepAlive &&
+             Bytes.empty();
     Result.FinalResponse = kj::mv(Response);
   }
   co_return kj::mv(Result);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -23,7 +23,9 @@
 /// The result of sending a request and waiting for its response.
 struct exchange_result {
   /// The complete response. Empty if the connection ended before it or if the
-  /// received bytes are not a valid response to the request.
+  /// received bytes are not a valid response to the request. A response without
+  /// a length is complete once the connection has ended in an orderly way, and
+  /// no write of the request has failed by then.
   std::optional<response> FinalResponse;
   /// Set once any bytes were read, even if the response is incomplete.
   bool AnyBytesRead = false;
--- a/src/http/tests/client_tests.cpp
+++ b/src/http/tests/client_tests.cpp
@@ -2,7 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <memory>
+#include <string>
 
 using namespace figplank::http;
 
@@ -48,6 +50,93 @@
   }
 };
 
+/// A stream whose reads and writes end as the test decides, and in its order.
+class scripted_stream final : public kj::AsyncIoStream {
+public:
+  /// Ends the next read with \p Bytes; none for the end of the connection.
+  void endRead(const std::string &Bytes) {
+    BytesOfRead = Bytes;
+    Reads->fulfill();
+  }
+  void failRead() { Reads->reject(makeReset()); }
+  /// Fails the write. Its caller learns of it \p Turns turns of the event loop
+  /// later.
+  void failWrite(unsigned Turns) {
+    TurnsOfFailure = Turns;
+    Writes->reject(makeReset());
+  }
+  void endWrite() { Writes->fulfill(); }
+
+  kj::Promise<std::size_t> tryRead(void *Buffer, std::size_t,
+                                   std::size_t) override {
+    auto Pair = kj::newPromiseAndFulfiller<void>();
+    Reads = kj::mv(Pair.fulfiller);
+    return Pair.promise.then([this, Buffer]() {
+      std::copy(BytesOfRead.begin(), BytesOfRead.end(),
+                static_cast<char *>(Buffer));
+      return BytesOfRead.size();
+    });
+  }
+  kj::Promise<void>
+  write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>>) override {
+    auto Pair = kj::newPromiseAndFulfiller<void>();
+    Writes = kj::mv(Pair.fulfiller);
+    return Pair.promise.catch_([this](kj::Exception &&Failure) {
+      return delay(TurnsOfFailure).then([Failure = kj::mv(Failure)]() mutable {
+        kj::throwFatalException(kj::mv(Failure));
+      });
+    });
+  }
+  kj::Promise<void> write(const void *, std::size_t) override {
+    return kj::NEVER_DONE;
+  }
+  kj::Promise<void> whenWriteDisconnected() override { return kj::NEVER_DONE; }
+  void shutdownWrite() override {}
+
+private:
+  static kj::Exception makeReset() {
+    return KJ_EXCEPTION(DISCONNECTED, "reset by the server");
+  }
+  static kj::Promise<void> delay(unsigned Turns) {
+    if (Turns == 0) {
+      return kj::READY_NOW;
+    }
+    return kj::evalLater([Turns]() { return delay(Turns - 1); });
+  }
+
+  kj::Own<kj::PromiseFulfiller<void>> Reads;
+  kj::Own<kj::PromiseFulfiller<void>> Writes;
+  std::string BytesOfRead;
+  unsigned TurnsOfFailure = 0;
+};
+
+/// An upload on a scripted stream.
+struct scripted_upload {
+  kj::AsyncIoContext Io = kj::setupAsyncIo();
+  scripted_stream *Stream = nullptr;
+  std::unique_ptr<client_connection> Connection;
+  kj::Promise<exchange_result> Exchange = nullptr;
+
+  scripted_upload() {
+    auto Scripted = kj::heap<scripted_stream>();
+    Stream = Scripted.get();
+    Connection = std::make_unique<client_connection>(
+        kj::mv(Scripted), parser_limits(), Io.provider->getTimer());
+    kj::Promise<exchange_result> Started =
+        Connection->exchange({"POST", "/", {}, "upload", true},
+                             [](const response &) { return true; });
+    Exchange = Started.eagerlyEvaluate(nullptr);
+    settle();
+  }
+  /// Lets run what is ready.
+  void settle() {
+    Io.provider->getTimer().afterDelay(0 * kj::SECONDS).wait(Io.waitScope);
+  }
+};
+
+/// A response that the end of the connection ends.
+const std::string WithoutLength = "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart";
+
 } // namespace
 
 TEST_GROUP(Client) {
@@ -125,3 +214,78 @@
     CHECK_FALSE(Session->Connection.isUsable());
   }
 }
+
+TEST_GROUP(ClientUpload) {
+  std::unique_ptr<scripted_upload> Upload = std::make_unique<scripted_upload>();
+
+  /// Reads the head and a part of the body.
+  void readPart() {
+    Upload->Stream->endRead(WithoutLength);
+    Upload->settle();
+  }
+  exchange_result result() {
+    return Upload->Exchange.wait(Upload->Io.waitScope);
+  }
+};
+
+// Guards against the part of an answer whose connection was reset that the
+// client gets as a whole answer (MIXED). The write meets the reset and takes
+// the socket's error, and the read after it returns 0 as at an orderly end.
+TEST(ClientUpload, PartBeforeAResetOfTheWriteIsNotAResponse) {
+  readPart();
+  Upload->Stream->failWrite(0);
+  Upload->settle();
+  Upload->Stream->endRead("");
+  CHECK_FALSE(result().FinalResponse.has_value());
+  CHECK_FALSE(Upload->Connection->isUsable());
+}
+
+// The same where the exchange learns of the failed write after the read.
+TEST(ClientUpload, ResetOfTheWriteThatIsToldLateCounts) {
+  constexpr unsigned Turns = 50;
+  readPart();
+  Upload->Stream->failWrite(Turns);
+  Upload->Stream->endRead("");
+  CHECK_FALSE(result().FinalResponse.has_value());
+}
+
+TEST(ClientUpload, ResetBeforeTheResponseCountsToo) {
+  Upload->Stream->failWrite(0);
+  Upload->settle();
+  readPart();
+  Upload->Stream->endRead("");
+  CHECK_FALSE(result().FinalResponse.has_value());
+}
+
+TEST(ClientUpload, PartBeforeAResetOfTheReadIsNotAResponse) {
+  readPart();
+  Upload->Stream->failRead();
+  CHECK_FALSE(result().FinalResponse.has_value());
+}
+
+TEST(ClientUpload, ResponseWithoutLengthMayComeBeforeTheUploadHasEnded) {
+  readPart();
+  Upload->Stream->endRead("");
+  exchange_result Result = result();
+  CHECK(Result.FinalResponse.has_value());
+  STRCMP_EQUAL("part", Result.FinalResponse->Body.text().c_str());
+  CHECK_FALSE(Upload->Connection->isUsable());
+}
+
+TEST(ClientUpload, ResponseWithoutLengthMayComeAfterTheUpload) {
+  Upload->Stream->endWrite();
+  readPart();
+  Upload->Stream->endRead("");
+  STRCMP_EQUAL("part", result().FinalResponse->Body.text().c_str());
+}
+
+// A response that ends by itself is whole, whatever becomes of the upload.
+TEST(ClientUpload, ResponseWithLengthIsWholeBesideAReset) {
+  Upload->Stream->failWrite(0);
+  Upload->settle();
+  Upload->Stream->endRead(responseText("a", "own"));
+  exchange_result Result = result();
+  CHECK(Result.FinalResponse.has_value());
+  STRCMP_EQUAL("own", Result.FinalResponse->Body.text().c_str());
+  CHECK_FALSE(Upload->Connection->isUsable());
+}
