A write that fails at once is a failed write, and no exception is a timeout by itself

What callers saw: 504 some ms after the request, with seconds left, where the upstream reset the connection while it read an upload; the request was not repeated elsewhere.

Cause: KJ writes as long as the socket takes bytes, for a fast reader many megabytes before write() returns. A reset met there leaves write() as an exception. It left exchange() too, and runAtBackend() took any exception for the end of the time allowed.

Ruled out: the deadline (9 s were left) and a timer (4 to 30 ms had passed).

Change: kj::evalNow starts the write, and runAtBackend() calls only the timer's exception a timeout; others are logged and count as a lost connection, as in node/dispatch.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -61,8 +61,12 @@
   auto WriteState = write_state::Running;
   // The response is read while the request is being written, because a server
   // may respond before it has read the whole request.
+  // A write can fail at once, by an exception.
   kj::Promise<void> Writing =
-      Stream->write(kj::arrayPtr(Pieces.data(), Request.Body.empty() ? 1 : 2))
+      kj::evalNow([&]() {
+        return Stream->write(
+            kj::arrayPtr(Pieces.data(), Request.Body.empty() ? 1 : 2));
+      })
           .then([&WriteState]() { WriteState = write_state::Done; },
                 [&WriteState](kj::Exception &&) {
                   WriteState = write_state::Failed;
--- a/src/http/tests/client_tests.cpp
+++ b/src/http/tests/client_tests.cpp
@@ -53,6 +53,9 @@
 /// A stream whose reads and writes end as the test decides, and in its order.
 class scripted_stream final : public kj::AsyncIoStream {
 public:
+  /// Whether a write fails before it returns.
+  bool FailsWritesAtOnce = false;
+
   /// Ends the next read with \p Bytes; none for the end of the connection.
   void endRead(const std::string &Bytes) {
     BytesOfRead = Bytes;
@@ -79,6 +82,9 @@
   }
   kj::Promise<void>
   write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>>) override {
+    if (FailsWritesAtOnce) {
+      kj::throwFatalException(makeReset());
+    }
     auto Pair = kj::newPromiseAndFulfiller<void>();
     Writes = kj::mv(Pair.fulfiller);
     return Pair.promise.catch_([this](kj::Exception &&Failure) {
@@ -117,9 +123,10 @@
   std::unique_ptr<client_connection> Connection;
   kj::Promise<exchange_result> Exchange = nullptr;
 
-  scripted_upload() {
+  explicit scripted_upload(bool FailsWritesAtOnce = false) {
     auto Scripted = kj::heap<scripted_stream>();
     Stream = Scripted.get();
+    Stream->FailsWritesAtOnce = FailsWritesAtOnce;
     Connection = std::make_unique<client_connection>(
         kj::mv(Scripted), parser_limits(), Io.provider->getTimer());
     kj::Promise<exchange_result> Started =
@@ -289,3 +296,15 @@
   STRCMP_EQUAL("own", Result.FinalResponse->Body.text().c_str());
   CHECK_FALSE(Upload->Connection->isUsable());
 }
+
+// Guards against an exchange that fails by an exception, since its connection
+// was reset before the request was written, and counts as one that timed out.
+TEST(ClientUpload, WriteThatFailsAtOnceIsAFailedWrite) {
+  // A thread has one event loop.
+  Upload.reset();
+  Upload = std::make_unique<scripted_upload>(true);
+  readPart();
+  Upload->Stream->endRead("");
+  CHECK_FALSE(result().FinalResponse.has_value());
+  CHECK_FALSE(Upload->Connection->isUsable());
+}
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -245,8 +245,13 @@
     kj::Promise<backend_answer> Timed =
         Node.Timer.timeoutAfter(toDuration(Allowed), kj::mv(Sending));
     Received = co_await kj::mv(Timed);
-  } catch (const kj::Exception &) {
-    HasTimedOut = true;
+  } catch (const kj::Exception &Exception) {
+    // Anything else is a failed run, which Received says from the beginning.
+    HasTimedOut = Exception.getType() == kj::Exception::Type::OVERLOADED;
+    if (!HasTimedOut) {
+      logEvent(log_level::Error, "backend_run_failed",
+               {{"error", Exception.getDescription().cStr()}});
+    }
   }
   admission::recordChainShare(Node.MinChildShares, Request.Template,
                               Request.Organisation, Context->MinChildShare,
