Responses with a field name that HTTP does not have are malformed

What callers saw: an answer whose head or trailers held a name with a blank (Bad Name: 3, Content Length: 3, a blank before the first name) arrived as an answer, with that line passed on (MIXED).

Cause: http_parser takes a blank as a part of a name, and only names of requests were checked for characters of a token.

Ruled out: other bytes (0x00, 0x01, 0x09, 0x0b, 0x7f, 0x80, a bracket, an empty name) were refused before; they are in the tests and stay.

Change: names of responses hold characters of a token, and blanks only behind them, which are removed as RFC 9112, 5.1 asks of a proxy: so no line is passed on whose name is not one, in a head or among trailers, whole or in pieces.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -138,19 +138,33 @@
   return Self.countHeaderBytes(Length) ? 0 : StopParsing;
 }
 
+bool message_parser::checkHeaderName(std::string_view Bytes) {
+  for (char C : Bytes) {
+    bool MayBeBlank = Kind == kind::Responses && NamePart != name_part::None;
+    if (isTokenCharacter(C) && NamePart != name_part::Blanks) {
+      NamePart = name_part::Token;
+    } else if (C == ' ' && MayBeBlank) {
+      NamePart = name_part::Blanks;
+    } else {
+      Failure = parse_state::Malformed;
+      return false;
+    }
+  }
+  return true;
+}
+
 int message_parser::onHeaderName(http_parser *Parser, const char *At,
                                  std::size_t Length) {
   message_parser &Self = self(Parser);
-  if (Self.Kind == kind::Requests &&
-      !std::all_of(At, At + Length, isTokenCharacter)) {
-    Self.Failure = parse_state::Malformed;
-    return StopParsing;
-  }
   std::size_t Counted = Length;
   if (Self.Part != header_part::Name) {
     Counted += MinLineBytes;
     Self.endHeaderLine();
     Self.Part = header_part::Name;
+    Self.NamePart = name_part::None;
+  }
+  if (!Self.checkHeaderName({At, Length})) {
+    return StopParsing;
   }
   // Trailers of a chunked body are dropped.
   if (!Self.AreHeadersComplete) {
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -3,10 +3,11 @@
 /// parser object parses the successive messages of one connection.
 ///
 /// The library takes some bytes that other recipients read differently, by
-/// which a request could be hidden inside another one. Requests with a byte in
-/// a header name that is not allowed there, such as a blank before the colon,
-/// or with a blank or control character in the target are malformed (RFC
-/// 9112, 3.2 and 5.1). In responses, blanks before a colon are removed.
+/// which a request could be hidden inside another one, or a response get
+/// another body. Messages with a byte in a header name that is not allowed
+/// there, trailers included, and requests with a blank or control character in
+/// the target are malformed (RFC 9112, 3.2 and 5.1). A blank before a colon is
+/// such a byte in requests; from responses a proxy removes it.
 #pragma once
 
 #include "framework/memoryaccount.h"
@@ -93,6 +94,8 @@
 private:
   /// The part of a header line that was read last.
   enum class header_part : std::uint8_t { None, Name, Value };
+  /// The part of a header name that was read last.
+  enum class name_part : std::uint8_t { None, Token, Blanks };
 
   static int onMessageBegin(http_parser *Parser);
   static int onTarget(http_parser *Parser, const char *At, std::size_t Length);
@@ -105,6 +108,9 @@
   static int onMessageComplete(http_parser *Parser);
   static message_parser &self(http_parser *Parser);
 
+  /// Checks the next \p Bytes of a header name. Sets Failure and returns false
+  /// if one is not allowed there.
+  bool checkHeaderName(std::string_view Bytes);
   /// Takes the name of the header line off the blanks between it and its colon.
   void trimHeaderName();
   /// Returns false if a limit is exceeded.
@@ -133,6 +139,7 @@
   framework::memory_charge BodyCharge;
   std::uint64_t MessagesBegun = 0;
   header_part Part = header_part::None;
+  name_part NamePart = name_part::None;
   bool IsInMessage = false;
   bool AreHeadersComplete = false;
   bool HasExpectHeader = false;
--- a/src/http/tests/parser_tests.cpp
+++ b/src/http/tests/parser_tests.cpp
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <vector>
+
 using namespace figplank::http;
 
 namespace {
@@ -224,3 +227,45 @@
   }
   LONGS_EQUAL(0, figplank::framework::usedBytes(Account));
 }
+
+// Guards against an answer with a field name that HTTP does not have, which the
+// client gets with that line, or with another body than the server's (MIXED).
+TEST(Parser, ResponsesWithMalformedFieldNamesAreMalformed) {
+  using namespace std::string_literals;
+  const std::string Body = "Content-Length: 4\r\n\r\nbody";
+  for (const std::string &Name :
+       {"Bad Name"s, "Content Length"s, " Bad"s, "  Bad"s, " "s, "Bad  Name "s,
+        "Bad\tName"s, "Bad\t"s, "Bad\0Name"s, "Bad\x01"s, "Bad\x7f"s,
+        "Bad\x80"s, "Bad("s, ""s}) {
+    const std::string Line = Name + ": 3\r\n";
+    const std::string Ok = "HTTP/1.1 200 OK\r\n";
+    const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::string> Texts{Ok + Line + Body};
+    // Elsewhere a line that begins with a blank folds the one before it.
+    if (!Name.starts_with(" ")) {
+      Texts.push_back(Ok + "Id: a\r\n" + Line + Body);
+      Texts.push_back(Ok + "Content-Length: 4\r\n" + Line + "\r\nbody");
+      Texts.push_back(Ok + Chunked + "1\r\na\r\n0\r\n" + Line + "\r\n");
+      Texts.push_back(Ok + Chunked + "1\r\na\r\n0\r\nId: a\r\n" + Line +
+                      "\r\n");
+    }
+    for (const std::string &Text : Texts) {
+      message_parser Whole(Responses, {});
+      CHECK_TEXT(feedAll(Whole, Text) == parse_state::Malformed, Text.c_str());
+      message_parser InBytes(Responses, {});
+      parse_state State = parse_state::Incomplete;
+      for (std::size_t I = 0;
+           I < Text.size() && State == parse_state::Incomplete; ++I) {
+        State = feedAll(InBytes, std::string_view(Text).substr(I, 1));
+      }
+      CHECK_TEXT(State == parse_state::Malformed, Text.c_str());
+    }
+  }
+}
+
+TEST(Parser, TrailerThatBeginsWithABlankIsMalformed) {
+  message_parser Parser(Responses, {});
+  CHECK(feedAll(Parser,
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "1\r\na\r\n0\r\n Bad: 3\r\n\r\n") == parse_state::Malformed);
+}
