Responses whose status has no body end with their head

Cause: http_parser reads the body that a head announces, whatever the status.

Ruled out: HEAD, whose responses were told apart already.

Why it works: the parser skips the body where mayHaveBody() says that the status has none (RFC 9112, 6.3).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = std::size_t{16} << 10U;
-constexpr std::uint16_t FirstFinalStatus = 200;
 /// Responses to other requests that are discarded before the exchange fails,
 /// since the connection then seems to be out of sync.
 constexpr unsigned MaxDiscarded = 4;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -109,7 +109,8 @@
 }
 
 bool mayHaveBody(std::uint16_t Status) {
-  return Status != NoContent && Status != NotModified;
+  return Status >= FirstFinalStatus && Status != NoContent &&
+         Status != NotModified;
 }
 
 std::string formatResponseHead(const response &Response, bool Close) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -31,6 +31,9 @@
   bool KeepAlive = true;
 };
 
+/// Lower statuses are those of interim responses (RFC 9110, 15.2).
+constexpr std::uint16_t FirstFinalStatus = 200;
+
 /// Returns whether HTTP has responses with the status \p Status (RFC 9110, 15).
 constexpr bool isValidStatus(unsigned Status) {
   constexpr unsigned Min = 100;
@@ -48,7 +51,8 @@
 /// Serialises \p Request without its body, which follows unchanged.
 std::string formatRequestHead(const request &Request);
 
-/// Whether a response with the status \p Status may have a body.
+/// Whether a response with the status \p Status may have a body (RFC 9112,
+/// 6.3).
 bool mayHaveBody(std::uint16_t Status);
 
 /// Serialises \p Response without its body. \p Close adds the header
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -201,7 +201,10 @@
                            ? 0
                            : std::min<std::uint64_t>(Parser->content_length,
                                                      Self.Limits.MaxBodyBytes);
-  return Self.IsHeadResponse ? SkipBody : 0;
+  // The library reads a body that such a response announces but cannot have.
+  bool HasNoBody = Self.Kind == kind::Responses &&
+                   (Self.IsHeadResponse || !mayHaveBody(Parser->status_code));
+  return HasNoBody ? SkipBody : 0;
 }
 
 int message_parser::onBody(http_parser *Parser, const char *At,
--- a/src/http/tests/parser_tests.cpp
+++ b/src/http/tests/parser_tests.cpp
@@ -269,3 +269,23 @@
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 "1\r\na\r\n0\r\n Bad: 3\r\n\r\n") == parse_state::Malformed);
 }
+
+// Guards against an answer without a body whose client waits for one until its
+// deadline, or gets bytes of another answer in it (RFC 9112, 6.3).
+TEST(Parser, ResponsesThatHaveNoBodyEndWithTheirHead) {
+  for (const char *Status : {"103", "204", "304"}) {
+    for (const char *Line :
+         {"Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+      message_parser Parser(Responses, {});
+      std::size_t Consumed = 0;
+      const std::string Head =
+          "HTTP/1.1 " + std::string(Status) + " None\r\n" + Line + "\r\n";
+      CHECK_TEXT(Parser.feed(Head + "body", Consumed) == parse_state::Complete,
+                 Head.c_str());
+      LONGS_EQUAL(Head.size(), Consumed);
+      CHECK(Parser.takeResponse().Body.empty());
+      CHECK(feedAll(Parser, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na") ==
+            parse_state::Complete);
+    }
+  }
+}
