Responses in a transfer coding that is not taken off are malformed

Cause: http_parser takes chunks off where chunked is the last coding and reads to the end otherwise; the header is removed, as it belongs to one connection.

Why it works: a node asks for no coding, so chunked alone may come (RFC 9112, 7.4), and chunked is taken off.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -36,6 +36,24 @@
   return isAlphanumeric(C) || Others.find(C) != std::string_view::npos;
 }
 
+/// Whether the body of a response with the header lines \p Lines has no coding,
+/// or the only one that can be taken off. A node asks for no other one.
+bool isCodingKnown(std::string_view Lines) {
+  unsigned Codings = 0;
+  for (header_list::iterator Line(Lines); Line != header_list::iterator();
+       ++Line) {
+    if (equalsIgnoringCase(Line->Name, "Transfer-Encoding")) {
+      ++Codings;
+      std::string_view Coding = Line->Value;
+      Coding = Coding.substr(0, Coding.find_last_not_of(" \t") + 1);
+      if (Codings > 1 || !equalsIgnoringCase(Coding, "chunked")) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 /// Whether \p C ends the target, or the request line, for some recipients.
 bool isBlankOrControl(char C) {
   constexpr unsigned char LastControl = 0x20;
@@ -218,7 +236,10 @@
   Self.endHeaderLine();
   Self.AreHeadersComplete = true;
   Self.HasExpectHeader = findHeaderLine(Self.HeaderText, "Expect").has_value();
-  if (Self.Kind == kind::Responses && !isValidStatus(Parser->status_code)) {
+  bool IsSound =
+      Self.Kind == kind::Requests ||
+      (isValidStatus(Parser->status_code) && isCodingKnown(Self.HeaderText));
+  if (!IsSound) {
     Self.Failure = parse_state::Malformed;
     return FailHeaders;
   }
--- a/src/http/tests/parser_tests.cpp
+++ b/src/http/tests/parser_tests.cpp
@@ -349,3 +349,20 @@
     checkState(Responses, Line + Rest, parse_state::Complete);
   }
 }
+
+// Guards against a body that the client gets in a coding of which it is not
+// told, or with the lines between its chunks.
+TEST(Parser, ResponsesInACodingThatIsNotTakenOffAreMalformed) {
+  const std::string Start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+  const std::string Body = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+  for (const char *Coding :
+       {"gzip, chunked", "gzip", "chunked, gzip", "identity", "xchunked", "",
+        "chunked;q=1", "chunked, chunked", "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip",
+        "chunked\r\nTransfer-Encoding: chunked"}) {
+    checkState(Responses, Start + Coding + Body, parse_state::Malformed);
+  }
+  for (const char *Coding : {"chunked", "CHUNKED", "chunked "}) {
+    checkState(Responses, Start + Coding + Body, parse_state::Complete);
+  }
+}
--- a/src/node/tests/brokenanswers_tests.cpp
+++ b/src/node/tests/brokenanswers_tests.cpp
@@ -99,6 +99,8 @@
   for (const std::string &Text :
        {Ok + "Content-Length: 9\r\n\r\nbody", Ok + Chunked + "9\r\nbody",
         Ok + Chunked + "4\r\nbody\r\n", Ok + Chunked + "4\r\nbodyXX0\r\n\r\n",
+        Ok + "Transfer-Encoding: gzip\r\n\r\nbody",
+        Ok + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
         Ok + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody5",
         Ok + "Content-Length: 4\r\n" + Chunked + "4\r\nbody\r\n0\r\n\r\n",
         std::string("HTTP/1.1 200 OK\r\nContent-"),
