Broken answers of the store are not read, nor bytes behind an answer

Cause: cpp-httplib takes any bytes for a name, and goes on with a connection on which bytes wait, but for those of the block it read last.

Ruled out: parts of a listing.

Why it works: an answer that HTTP does not have is a failed call, and neither its status nor its era is used; a connection on which bytes wait is closed before each call.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -10,6 +10,11 @@
 constexpr std::uint16_t NoContent = 204;
 constexpr std::uint16_t NotModified = 304;
 
+bool isAlphanumeric(char C) {
+  return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
+         (C >= 'A' && C <= 'Z');
+}
+
 std::string_view trim(std::string_view Text) {
   while (!Text.empty() && (Text.front() == ' ' || Text.front() == '\t')) {
     Text.remove_prefix(1);
@@ -79,6 +84,11 @@
 
 } // namespace
 
+bool isTokenCharacter(char C) {
+  constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return isAlphanumeric(C) || Others.find(C) != std::string_view::npos;
+}
+
 void removeHopByHopHeaders(header_list &Headers) {
   std::unordered_set<std::string> ListedNames;
   for (const header &Line : Headers) {
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -25,17 +25,6 @@
 /// other nodes and the text for the backend server.
 constexpr std::size_t HeadCopies = 8;
 
-bool isAlphanumeric(char C) {
-  return (C >= '0' && C <= '9') || (C >= 'a' && C <= 'z') ||
-         (C >= 'A' && C <= 'Z');
-}
-
-/// Whether \p C may be part of a header name (RFC 9110, 5.6.2).
-bool isTokenCharacter(char C) {
-  constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
-  return isAlphanumeric(C) || Others.find(C) != std::string_view::npos;
-}
-
 /// Whether the body of a response with the header lines \p Lines has no coding,
 /// or the only one that can be taken off. A node asks for no other one.
 bool isCodingKnown(std::string_view Lines) {
--- a/src/node/platformreader.cpp
+++ b/src/node/platformreader.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/jsonreader.h"
 #include "framework/logging.h"
+#include "http/httplibanswer.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -97,8 +98,14 @@
   const framework::milliseconds MaxSilence = Times.Wait + Times.AnswerMargin;
   Client.set_read_timeout(MaxSilence);
   const framework::monotonic_time Start = framework::readClocks().Monotonic;
+  http::dropUnaskedBytes(Client);
   auto Result = Client.Get(Path);
   platform_update Update;
+  if (Result && !http::isSound(*Result)) {
+    Client.stop();
+    Update.Failure = read_failure::Malformed;
+    return Update;
+  }
   if (!Result || Result->status != 200) {
     Update.Failure =
         failureOf(Result,
