Answers of other nodes have a status and names that HTTP has

What callers saw: nothing yet. While versions change, a node of an earlier one passes an answer with a malformed field name on, and the node at the entry sent it to the client as it came.

Cause: readAnswer() checked the outcome, the reason and the share of an answer, not its head.

Ruled out: cut answers. A message that is cut ends its connection, and the request fails with it; line breaks in names became blanks before.

Evidence: node, Wire AnswersThatHttpDoesNotHaveAreInvalid failed without the change and passes with it, for lines sent one by one and as a text; AnswersArriveAsTheyWereSent passes in both.

Why it works: the reader is the one place where answers of nodes come in; a head that HTTP does not have is a malformed message, counted as such.

--- a/src/http/httplibanswer.cpp
+++ b/src/http/httplibanswer.cpp
@@ -4,17 +4,11 @@
 
 #include <httplib.h>
 
-#include <algorithm>
 #include <sys/socket.h>
 
 namespace figplank::http {
 namespace {
 
-bool isFieldName(const std::string &Text) {
-  return !Text.empty() &&
-         std::all_of(Text.begin(), Text.end(), isTokenCharacter);
-}
-
 bool isLength(const std::string &Text) {
   return !Text.empty() && Text.find_first_not_of("0123456789") == Text.npos;
 }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -89,6 +89,11 @@
   return isAlphanumeric(C) || Others.find(C) != std::string_view::npos;
 }
 
+bool isFieldName(std::string_view Text) {
+  return !Text.empty() &&
+         std::all_of(Text.begin(), Text.end(), isTokenCharacter);
+}
+
 void removeHopByHopHeaders(header_list &Headers) {
   std::unordered_set<std::string> ListedNames;
   for (const header &Line : Headers) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -44,6 +44,9 @@
 /// Whether \p C may be part of a header name (RFC 9110, 5.6.2).
 bool isTokenCharacter(char C);
 
+/// Whether \p Text may be a header name.
+bool isFieldName(std::string_view Text);
+
 /// Removes the hop-by-hop headers (RFC 9110, 7.6.1) and the headers that frame
 /// the body, which the functions below write again.
 void removeHopByHopHeaders(header_list &Headers);
--- a/src/node/wire.cpp
+++ b/src/node/wire.cpp
@@ -102,6 +102,16 @@
   return Headers;
 }
 
+/// Whether HTTP has answers with the status and the header names of \p Answer,
+/// which may come from a node that checks less. A refusal has no status.
+bool hasSoundHead(const work_answer &Answer) {
+  return (Answer.Status == 0 || http::isValidStatus(Answer.Status)) &&
+         std::all_of(Answer.Headers.begin(), Answer.Headers.end(),
+                     [](const http::header &Line) {
+                       return http::isFieldName(Line.Name);
+                     });
+}
+
 void writeForwarded(rpc::ForwardedRequest::Builder To,
                     const forwarded_request &From) {
   To.setName(toText(From.RequestName));
@@ -254,6 +264,9 @@
   Answer.Status = From.getStatus();
   Answer.ContentType = toString(From.getContentType());
   Answer.Headers = readHeaders(From);
+  if (!hasSoundHead(Answer)) {
+    return std::nullopt;
+  }
   framework::memory_charge Charge(&Account, framework::memory_class::Answers);
   capnp::Data::Reader Body = From.getBody();
   if (Charge.growTo(Body.size())) {
--- a/src/node/wire.h
+++ b/src/node/wire.h
@@ -30,9 +30,10 @@
 void writeAnswer(rpc::WorkAnswer::Builder To, const work_answer &From,
                  std::uint64_t Attempt);
 
-/// Returns nothing if the answer belongs to another attempt or is invalid. The
-/// body is charged to \p Account. If it finds no room there, the answer is
-/// replaced by one that leaves the outcome open, for lack of memory.
+/// Returns nothing if the answer belongs to another attempt or is invalid, as
+/// with a status or a header name that HTTP does not have. The body is charged
+/// to \p Account. If it finds no room there, the answer is replaced by one that
+/// leaves the outcome open, for lack of memory.
 std::optional<work_answer> readAnswer(rpc::WorkAnswer::Reader From,
                                       std::uint64_t Attempt,
                                       framework::memory_account &Account);
