--- a/src/http/blockingcall.cpp
+++ b/src/http/blockingcall.cpp
@@ -20,7 +20,6 @@
 using framework::readClocks;
 
 constexpr std::size_t ReadBufferBytes = std::size_t{16} << 10U;
-constexpr unsigned MaxInterimResponses = 16;
 
 /// Owns a socket.
 class owned_socket {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -9,9 +9,6 @@
 /// Responses to other requests that are discarded before the exchange fails,
 /// since the connection then seems to be out of sync.
 constexpr unsigned MaxDiscarded = 4;
-/// Interim responses (RFC 9110, 15.2) to one request after which the exchange
-/// fails, since a faulty server may send them without end.
-constexpr unsigned MaxInterimResponses = 16;
 
 enum class write_state : std::uint8_t { Running, Done, Failed };
 
@@ -59,8 +56,8 @@
       toBytes(Head), toBytes(Request.Body.text())};
   auto WriteState = write_state::Running;
   // The response is read while the request is being written, because a server
-  // may respond before it has read the whole request.
-  // A write can fail at once, by an exception.
+  // may respond before it has read the whole request. evalNow() makes a failed
+  // write of one that fails before it returns.
   kj::Promise<void> Writing =
       kj::evalNow([&]() {
         return Stream->write(
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -34,6 +34,10 @@
 /// Lower statuses are those of interim responses (RFC 9110, 15.2).
 constexpr std::uint16_t FirstFinalStatus = 200;
 
+/// Interim responses to one request after which its call fails, since a faulty
+/// server may send them without end.
+constexpr unsigned MaxInterimResponses = 16;
+
 /// Returns whether HTTP has responses with the status \p Status (RFC 9110, 15).
 constexpr bool isValidStatus(unsigned Status) {
   constexpr unsigned Min = 100;
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -7,7 +7,8 @@
 /// another body. Messages with a byte in a header name that is not allowed
 /// there, trailers included, and requests with a blank or control character in
 /// the target are malformed (RFC 9112, 3.2 and 5.1). A blank before a colon is
-/// such a byte in requests; from responses a proxy removes it.
+/// such a byte in requests; from responses a proxy removes it. For the lines
+/// themselves see framing.h.
 #pragma once
 
 #include "framework/memoryaccount.h"
