--- a/src/cli/tests/commands_tests.cpp
+++ b/src/cli/tests/commands_tests.cpp
@@ -1,5 +1,6 @@
 #include "cli/commands.h"
 
+#include "framework/tests/joined.h"
 #include "standins/rawserver.h"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -8,6 +9,7 @@
 
 using namespace figplank;
 using namespace figplank::cli;
+using figplank::framework::tests::joined;
 
 namespace {
 
@@ -82,7 +84,7 @@
   LONGS_EQUAL(Unreachable, RunWith("HTTP/1.1 000 OK\r\n\r\n" + Status, false));
   for (const std::string &Line : standins::linesWithMalformedNames()) {
     LONGS_EQUAL_TEXT(Unreachable,
-                     RunWith(Ok + Line + "\r\n\r\n" + Status, false),
+                     RunWith(joined({Ok, Line, "\r\n\r\n", Status}), false),
                      Line.c_str());
   }
 }
--- a/src/client/tests/caller_tests.cpp
+++ b/src/client/tests/caller_tests.cpp
@@ -1,5 +1,6 @@
 #include "client/caller.h"
 
+#include "framework/tests/joined.h"
 #include "standins/rawserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -10,6 +11,7 @@
 using namespace figplank::standins;
 using figplank::framework::milliseconds;
 using figplank::framework::outcome;
+using figplank::framework::tests::joined;
 
 namespace {
 
@@ -117,8 +119,8 @@
 
 TEST(BrokenAnswers, StatusThatHttpDoesNotHaveIsUnknown) {
   for (const char *Status : {"000", "099", "600", "999", "20", "2000", "-20"}) {
-    checkUnknown(callOf("HTTP/1.1 " + std::string(Status) + " OK\r\n" +
-                        Completed + Length + "\r\nbody"),
+    checkUnknown(callOf(joined({"HTTP/1.1 ", Status, " OK\r\n", Completed,
+                                Length, "\r\nbody"})),
                  Status);
   }
 }
@@ -127,8 +129,8 @@
   std::vector<std::string> Lines = linesWithMalformedNames();
   Lines.emplace_back(" Bad: 3");
   for (const std::string &Line : Lines) {
-    checkUnknown(callOf("HTTP/1.1 200 OK\r\n" + Line + "\r\n" + Completed +
-                        Length + "\r\nbody"),
+    checkUnknown(callOf(joined({"HTTP/1.1 200 OK\r\n", Line, "\r\n", Completed,
+                                Length, "\r\nbody"})),
                  Line);
   }
 }
--- a/src/http/tests/parser_tests.cpp
+++ b/src/http/tests/parser_tests.cpp
@@ -1,11 +1,14 @@
 #include "http/parser.h"
 
+#include "framework/tests/joined.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <string>
 #include <vector>
 
 using namespace figplank::http;
+using figplank::framework::tests::joined;
 
 namespace {
 
@@ -263,14 +266,14 @@
     const std::string Line = Name + ": 3\r\n";
     const std::string Ok = "HTTP/1.1 200 OK\r\n";
     const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
-    std::vector<std::string> Texts{Ok + Line + Body};
+    std::vector<std::string> Texts{joined({Ok, Line, Body})};
     // Elsewhere a line that begins with a blank folds the one before it.
     if (!Name.starts_with(" ")) {
-      Texts.push_back(Ok + "Id: a\r\n" + Line + Body);
-      Texts.push_back(Ok + "Content-Length: 4\r\n" + Line + "\r\nbody");
-      Texts.push_back(Ok + Chunked + "1\r\na\r\n0\r\n" + Line + "\r\n");
-      Texts.push_back(Ok + Chunked + "1\r\na\r\n0\r\nId: a\r\n" + Line +
-                      "\r\n");
+      Texts.push_back(joined({Ok, "Id: a\r\n", Line, Body}));
+      Texts.push_back(joined({Ok, "Content-Length: 4\r\n", Line, "\r\nbody"}));
+      Texts.push_back(joined({Ok, Chunked, "1\r\na\r\n0\r\n", Line, "\r\n"}));
+      Texts.push_back(
+          joined({Ok, Chunked, "1\r\na\r\n0\r\nId: a\r\n", Line, "\r\n"}));
     }
     for (const std::string &Text : Texts) {
       checkState(Responses, Text, parse_state::Malformed);
@@ -360,9 +363,10 @@
         "chunked;q=1", "chunked, chunked", "gzip\r\nTransfer-Encoding: chunked",
         "chunked\r\nTransfer-Encoding: gzip",
         "chunked\r\nTransfer-Encoding: chunked"}) {
-    checkState(Responses, Start + Coding + Body, parse_state::Malformed);
+    checkState(Responses, joined({Start, Coding, Body}),
+               parse_state::Malformed);
   }
   for (const char *Coding : {"chunked", "CHUNKED", "chunked "}) {
-    checkState(Responses, Start + Coding + Body, parse_state::Complete);
+    checkState(Responses, joined({Start, Coding, Body}), parse_state::Complete);
   }
 }
--- a/src/node/tests/brokenanswers_tests.cpp
+++ b/src/node/tests/brokenanswers_tests.cpp
@@ -1,3 +1,4 @@
+#include "framework/tests/joined.h"
 #include "standins/rawserver.h"
 #include "testfleet.h"
 
@@ -10,6 +11,7 @@
 
 using namespace figplank;
 using namespace figplank::node::tests;
+using figplank::framework::tests::joined;
 using std::chrono::milliseconds;
 
 namespace {
@@ -88,9 +90,9 @@
     checkFailure(charge("x"), Line);
   }
   for (const std::string &Line : standins::linesWithMalformedNames()) {
-    serve(Ok + "Content-Length: 4\r\n" + Line + "\r\n\r\nbody");
+    serve(joined({Ok, "Content-Length: 4\r\n", Line, "\r\n\r\nbody"}));
     checkFailure(charge("x"), Line);
-    serve(Ok + Chunked + "4\r\nbody\r\n0\r\n" + Line + "\r\n\r\n");
+    serve(joined({Ok, Chunked, "4\r\nbody\r\n0\r\n", Line, "\r\n\r\n"}));
     checkFailure(charge("x"), "trailer " + Line);
   }
 }
@@ -102,7 +104,8 @@
         Ok + "Transfer-Encoding: gzip\r\n\r\nbody",
         Ok + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
         Ok + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody5",
-        Ok + "Content-Length: 4\r\n" + Chunked + "4\r\nbody\r\n0\r\n\r\n",
+        joined(
+            {Ok, "Content-Length: 4\r\n", Chunked, "4\r\nbody\r\n0\r\n\r\n"}),
         std::string("HTTP/1.1 200 OK\r\nContent-"),
         std::string("HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nbody"),
         std::string("HTTP/1.1 20 OK\r\nContent-Length: 4\r\n\r\nbody")}) {
--- a/src/node/tests/brokenwatches_tests.cpp
+++ b/src/node/tests/brokenwatches_tests.cpp
@@ -1,5 +1,6 @@
 #include "node/platformreader.h"
 
+#include "framework/tests/joined.h"
 #include "standins/rawserver.h"
 
 #include <CppUTest/TestHarness.h>
@@ -8,6 +9,7 @@
 
 using namespace figplank;
 using namespace figplank::node;
+using figplank::framework::tests::joined;
 using std::chrono::milliseconds;
 
 namespace {
@@ -51,14 +53,14 @@
 
 TEST(BrokenWatches, BrokenAnswersAreNotRead) {
   for (const std::string &Line : standins::linesWithMalformedNames()) {
-    CHECK_FALSE_TEXT(isRead(Ok + Line + "\r\n" + Length + "\r\n" + Body),
+    CHECK_FALSE_TEXT(isRead(joined({Ok, Line, "\r\n", Length, "\r\n", Body})),
                      Line.c_str());
   }
   for (const std::string &Text :
-       {Ok + " Bad: 3\r\n" + Length + "\r\n" + Body,
-        Ok + Length + "Content-Length: 3\r\n\r\n" + Body,
-        Ok + "Transfer-Encoding: gzip\r\n\r\n" + Body,
-        "HTTP/1.1 000 OK\r\n" + Length + "\r\n" + Body,
+       {joined({Ok, " Bad: 3\r\n", Length, "\r\n", Body}),
+        joined({Ok, Length, "Content-Length: 3\r\n\r\n", Body}),
+        joined({Ok, "Transfer-Encoding: gzip\r\n\r\n", Body}),
+        joined({"HTTP/1.1 000 OK\r\n", Length, "\r\n", Body}),
         Sound.substr(0, Sound.size() - 1), Ok + "\r\n" + Body.substr(0, 40)}) {
     CHECK_FALSE_TEXT(isRead(Text), Text.c_str());
   }
