--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,9 +2,10 @@
 
 #include "client/caller.h"
 #include "configuration/jsonreader.h"
+#include "http/blockingcall.h"
 
 #include <boost/leaf/handle_errors.hpp>
-#include <httplib.h>
+#include <nlohmann/json.hpp>
 
 #include <cstdio>
 #include <fstream>
@@ -17,18 +18,23 @@
 using framework::outcome;
 using nlohmann::json;
 
-constexpr int StatusTimeoutSeconds = 3;
+constexpr framework::milliseconds StatusTimeout{3'000};
 
 leaf::result<json> fetchStatus(const std::string &Address) {
-  httplib::Client Client("http://" + Address);
-  Client.set_connection_timeout(StatusTimeoutSeconds);
-  Client.set_read_timeout(StatusTimeoutSeconds);
-  auto Result = Client.Get("/status");
-  if (!Result) {
-    return leaf::new_error(cli_error{cli_errc::NodeUnreachable, Address});
+  http::request Request{"GET",
+                        "/status",
+                        {{"Host", Address}, {"Connection", "close"}},
+                        {},
+                        false};
+  http::call_result Result = http::callServer(
+      Address, Request, framework::readClocks().Monotonic + StatusTimeout);
+  if (!Result.Answer) {
+    bool IsBroken = Result.Failure == http::call_failure::BrokenAnswer;
+    return leaf::new_error(cli_error{
+        IsBroken ? cli_errc::BadAnswer : cli_errc::NodeUnreachable, Address});
   }
-  json Status = configuration::parseJson(Result->body);
-  if (Result->status != 200 || !Status.is_object()) {
+  json Status = configuration::parseJson(Result.Answer->Body.text());
+  if (Result.Answer->Status != 200 || !Status.is_object()) {
     return leaf::new_error(cli_error{cli_errc::BadAnswer, Address});
   }
   return Status;
--- a/src/cli/tests/commands_tests.cpp
+++ b/src/cli/tests/commands_tests.cpp
@@ -1,5 +1,7 @@
 #include "cli/commands.h"
 
+#include "standins/rawserver.h"
+
 #include <boost/leaf/handle_errors.hpp>
 
 #include <CppUTest/TestHarness.h>
@@ -58,3 +60,29 @@
 TEST(Commands, NodeWithoutResponseIsUnreachable) {
   LONGS_EQUAL(Unreachable, runStatus("127.0.0.1:1", false));
 }
+
+// A status that is cut short, or that HTTP does not have, is not shown.
+TEST(Commands, BrokenStatusAnswersAreRefused) {
+  const std::string Status = R"({"name":"n"})";
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  auto RunWith = [](const std::string &Text, bool Resets) {
+    standins::raw_server Node([&](int Connection, const std::string &) {
+      standins::sendText(Connection, Text);
+      if (Resets) {
+        standins::readFor(Connection, std::chrono::milliseconds(10));
+        standins::resetWhenClosed(Connection);
+      }
+      return false;
+    });
+    return runStatus(Node.address(), true);
+  };
+  LONGS_EQUAL(Success, RunWith(Ok + "\r\n" + Status, false));
+  LONGS_EQUAL(Unreachable, RunWith(Ok + "\r\n" + Status, true));
+  LONGS_EQUAL(Unreachable, RunWith(Ok + "\r\n" + Status.substr(0, 9), false));
+  LONGS_EQUAL(Unreachable, RunWith("HTTP/1.1 000 OK\r\n\r\n" + Status, false));
+  for (const std::string &Line : standins::linesWithMalformedNames()) {
+    LONGS_EQUAL_TEXT(Unreachable,
+                     RunWith(Ok + Line + "\r\n\r\n" + Status, false),
+                     Line.c_str());
+  }
+}
--- a/src/client/caller.cpp
+++ b/src/client/caller.cpp
@@ -1,8 +1,7 @@
 #include "client/caller.h"
 
 #include "execution/requestid.h"
-
-#include <httplib.h>
+#include "http/blockingcall.h"
 
 #include <algorithm>
 #include <charconv>
@@ -23,21 +22,24 @@
       framework::readClocks().Wall, Random(), Random()));
 }
 
-milliseconds readMilliseconds(const std::string &Text) {
+milliseconds readMilliseconds(std::string_view Text) {
   std::int64_t Number = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), Number);
   return milliseconds(Number);
 }
 
-call_answer readAnswer(const httplib::Response &Response) {
+call_answer readAnswer(const http::response &Response) {
+  auto HeaderText = [&Response](std::string_view Name) {
+    return http::findHeader(Response.Headers, Name)
+        .value_or(std::string_view());
+  };
   call_answer Answer;
-  Answer.Status = static_cast<unsigned>(Response.status);
-  Answer.Body = Response.body;
-  Answer.Reason = Response.get_header_value("Figplank-Reason");
-  Answer.RetryAfter =
-      readMilliseconds(Response.get_header_value("Figplank-Retry-After-Ms"));
-  auto Outcome = framework::valueOf(
-      framework::OutcomeNames, Response.get_header_value("Figplank-Outcome"));
+  Answer.Status = Response.Status;
+  Answer.Body = Response.Body.text();
+  Answer.Reason = HeaderText("Figplank-Reason");
+  Answer.RetryAfter = readMilliseconds(HeaderText("Figplank-Retry-After-Ms"));
+  auto Outcome = framework::valueOf(framework::OutcomeNames,
+                                    HeaderText("Figplank-Outcome"));
   Answer.Outcome = Outcome.value_or(outcome::Unknown);
   return Answer;
 }
@@ -45,23 +47,28 @@
 call_answer sendOnce(const std::string &NodeAddress,
                      const call_request &Request, const std::string &Key,
                      unsigned Attempt, milliseconds Remaining) {
-  httplib::Client Client("http://" + NodeAddress);
-  Client.set_tcp_nodelay(true);
-  Client.set_connection_timeout(Remaining);
   // The node answers by the deadline; the extra time allows for network delay.
-  Client.set_read_timeout(Remaining + milliseconds(500));
-  httplib::Headers Headers{
-      {"Figplank-Organisation", Request.Organisation},
-      {"Figplank-Deadline-Ms", std::to_string(Remaining.count())},
-      {"Figplank-Attempt", std::to_string(Attempt)},
-      {"Idempotency-Key", Key}};
-  std::string Path = "/work/" + Request.Template;
-  auto Result = Client.Post(Path, Headers, Request.Body, Request.ContentType);
+  constexpr milliseconds NetworkDelay{500};
+  http::request Sent;
+  Sent.Method = "POST";
+  Sent.Target = "/work/" + Request.Template;
+  Sent.Headers = {{"Host", NodeAddress},
+                  {"Connection", "close"},
+                  {"Content-Type", Request.ContentType},
+                  {"Figplank-Organisation", Request.Organisation},
+                  {"Figplank-Deadline-Ms", std::to_string(Remaining.count())},
+                  {"Figplank-Attempt", std::to_string(Attempt)},
+                  {"Idempotency-Key", Key}};
+  Sent.Body = http::shared_body(Request.Body);
+  http::call_result Result = http::callServer(
+      NodeAddress, Sent,
+      framework::readClocks().Monotonic + Remaining + NetworkDelay);
   call_answer Answer;
-  if (Result) {
-    Answer = readAnswer(*Result);
+  if (Result.Answer) {
+    Answer = readAnswer(*Result.Answer);
   } else {
-    Answer.Reason = "entry_unreachable";
+    bool IsBroken = Result.Failure == http::call_failure::BrokenAnswer;
+    Answer.Reason = IsBroken ? "broken_answer" : "entry_unreachable";
   }
   Answer.Key = Key;
   Answer.Attempts = Attempt;
--- a/src/client/caller.h
+++ b/src/client/caller.h
@@ -30,6 +30,8 @@
 struct call_answer {
   framework::outcome Outcome = framework::outcome::Unknown;
   /// Name of the reason as in docs/CALLERS.md; empty if the request completed.
+  /// `entry_unreachable` without an answer, `broken_answer` for one that is
+  /// cut short or that HTTP does not have.
   std::string Reason;
   unsigned Status = 0;
   std::string Body;
